Tandems vouched for come first: the centre's advice and standing calls

Among tandems, those that the centre named or over which a call stood within 3 s now come first, the most free first leg among them. Should also catch any lasting lack of second legs; harms if advice is wrong for long.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -43,7 +43,7 @@
 	ghostHolding = 10 // mean holding times after which a call is no longer counted
 	numbersMost  = 512
 	triedMost    = 4096
-	hostsMost    = 1024
+	vouchFor     = 3 * time.Second // word that a tandem reaches a destination counts so long
 )
 
 // Reasons and scopes of verdicts.
@@ -117,7 +117,7 @@
 	tokens           float64
 	normal           float64 // demand when its processor started: redials since do not count
 	tokensAt         time.Duration
-	turned           map[int]turn // by destination, as a tandem
+	turned           map[int]turn // by destination, as a tandem: what is known of its second leg
 }
 
 // share is what one class of own direct calls asks of a group and has of it.
@@ -126,8 +126,15 @@
 	running int
 }
 
-// turn books the calls to one destination that a tandem turned back.
-type turn struct{ until, skip time.Duration }
+// turn books what is known of a tandem's second leg to one destination: calls that
+// it turned back, and when it was last vouched for, by the centre or by a call that stood.
+type turn struct{ until, skip, good time.Duration }
+
+func (f *far) vouch(dest int, now time.Duration) {
+	t := f.turned[dest]
+	t.good = now + vouchFor
+	f.turned[dest] = t
+}
 
 // turnBack skips the tandem for this destination, twice as long each time in a
 // row. It saves the work of calls that go one leg far, whatever blocks the
@@ -138,7 +145,7 @@
 		t.skip = 0
 	}
 	t.skip = min(max(2*t.skip, turnedSkip), turnedMost)
-	t.until = now + t.skip
+	t.until, t.good = now+t.skip, 0
 	f.turned[dest] = t
 }
 
@@ -270,13 +277,6 @@
 		}
 	}
 	for _, x := range e.Entries {
-		if len(k.hosts) >= hostsMost {
-			k.hosts = map[uint32]int{}
-			for _, f := range k.order {
-				k.hosts[f.id] = f.cell
-			}
-		}
-		k.hosts[x.ID] = x.Cell
 		f := k.cells[x.Cell]
 		if f == nil {
 			f = &far{cell: x.Cell, id: x.ID, transit: map[int]int{}, turned: map[int]turn{},
@@ -299,6 +299,8 @@
 			f.win = min(f.win, windowStart)
 			f.tokens, f.tokensAt, f.normal = 1, k.now, f.demand.rate(k.now, k.born)
 		}
+		delete(k.hosts, f.id) // the table holds one processor a number
+		k.hosts[x.ID] = x.Cell
 		f.id, f.state, f.since, f.listed = x.ID, x.State, x.Since, true
 	}
 	for _, f := range k.order {
@@ -360,6 +362,9 @@
 		k.own.demand.add(k.now, 1)
 	}
 	k.asked.add(k.now, 1)
+	if a := k.cells[e.Through]; a != nil && !e.Transit && k.set.Advice {
+		a.vouch(e.Dest, k.now)
+	}
 	if e.Left <= 0 {
 		k.giveUp(c, TimeUp, ScopeCall)
 		return
@@ -394,14 +399,9 @@
 		k.hasty.add(k.now, 1)
 		k.patience += (k.now - c.at - k.patience) / 8
 	}
-	switch {
-	case c.state != out:
-		k.verdict(c, Left, ScopeCall, c.Dest)
-	case c.leg != nil:
-		k.verdict(c, Left, ScopeFar, c.leg.cell)
-		if k.set.Cancelling {
-			k.acts = append(k.acts, Cancel{c.ID, c.attempts - 1})
-		}
+	k.verdict(c, Left, ScopeCall, c.Dest)
+	if c.state == out && k.set.Cancelling {
+		k.acts = append(k.acts, Cancel{c.ID, c.attempts - 1})
 	}
 	k.finish(c)
 }
@@ -745,7 +745,8 @@
 // owed reserve. A tandem costs a third processor, so it is for circuits that
 // lack and for a direct way that is silent, not for processors that are pressed.
 // It guards against a pair that has lost each other; where the far end itself is
-// dead, the tandems turn the call back and are skipped.
+// dead, the tandems turn the call back and are skipped. Tandems vouched for come first:
+// where many exchanges share few circuits, most second legs are full or not there.
 func (k *Controller) tandem(c *call, d *far, r Reason) *far {
 	if c.Transit || c.alts >= altTries {
 		return nil
@@ -759,6 +760,7 @@
 		}
 	}
 	var best *far
+	vouched := false
 	for _, t := range k.order {
 		if t == d || t == k.own || !t.known || k.now < t.turned[c.Dest].until || !k.skilled(c, t) {
 			continue
@@ -769,8 +771,9 @@
 		if why, _ := k.closed(c, t); why != "" {
 			continue
 		}
-		if best == nil || t.free > best.free {
-			best = t
+		good := k.now < t.turned[c.Dest].good
+		if best == nil || good && !vouched || good == vouched && t.free > best.free {
+			best, vouched = t, good
 		}
 	}
 	return best
@@ -857,8 +860,8 @@
 		k.win = min(k.win+1/k.win, windowMost)
 	}
 	if d := k.cells[c.Dest]; c.alt && d != nil {
-		delete(f.turned, c.Dest)
 		delete(d.turned, c.Dest)
+		f.turned[c.Dest] = turn{good: k.now + vouchFor}
 	}
 	took := float64(e.After) / float64(k.target())
 	if c.alt {
