--- a/brain/brain.go
+++ b/brain/brain.go
@@ -43,7 +43,7 @@
 	ghostHolding = 10 // mean holding times after which a call is no longer counted
 	numbersMost  = 512
 	triedMost    = 4096
-	vouchFor     = 3 * time.Second // word that a tandem reaches a destination counts so long
+	vouchFor     = 500 * time.Millisecond // word that a tandem reaches a destination counts so long
 )
 
 // Reasons and scopes of verdicts.
