--- a/brain/brain.go
+++ b/brain/brain.go
@@ -790,7 +790,9 @@
 	}
 	f.free -= c.Width
 	f.pend++
-	k.pend++
+	if !alt { // a tandem may hold it for a circuit, which tells nothing of processors
+		k.pend++
+	}
 	f.tokens--
 	if k.own != nil {
 		k.own.tokens--
@@ -834,7 +836,9 @@
 // answered books the end of the wait for an answer.
 func (k *Controller) answered(c *call) *busy {
 	c.leg.pend--
-	k.pend--
+	if !c.alt {
+		k.pend--
+	}
 	b := k.numbers[c.Number]
 	if b != nil && b.pend > 0 {
 		b.pend--
@@ -869,6 +873,9 @@
 	}
 	f.lat = latKeep*k.fade(f.lat, f.latAt) + (1-latKeep)*took
 	f.latAt = k.now
+	if c.alt && took > 1 {
+		return
+	}
 	k.press = latKeep*k.fade(k.press, k.pressAt) + (1-latKeep)*took
 	k.pressAt = k.now
 	switch {
