Tries over tandems spend credit that standing calls over tandems earn

Cause: at full size 15 of 18 thousand tries over tandems were turned back; each costs work at two processors, whose own windows then refused a third of all calls. Tries now spend credit: a standing call earns two, one a second is free, eight may be saved. Should also catch turn-backs for any other cause; harms for some seconds when second legs clear all at once. Module trimmed, behaviour alike; tests for the credit and the centre's word.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,6 +18,9 @@
 	turnedSkip   = 3 * time.Second        // a tandem that turned a call back is skipped so long
 	turnedMost   = 12 * time.Second       // doubled each time up to this
 	altTries     = 2                      // tandems tried for one call
+	altEarns     = 2.0                    // tandem tries that a call standing over one pays for
+	altRefill    = 1.0                    // tries a second that are free
+	altSaved     = 8.0                    // most tries saved up
 	keepEvery    = 5                      // of so many served waiting calls, one is a lower class's
 	targetOfAim  = 0.4                    // send-to-standing time wanted, as a share of the shortest aim
 	targetOfT1   = 0.75                   // the same, as a share of the set-up repeat time
@@ -96,7 +99,6 @@
 	cell             int
 	id               uint32
 	state            State
-	listed           bool
 	since            time.Duration
 	known            bool
 	free, size       int
@@ -190,6 +192,8 @@
 	queue     []*call // waiting
 	numbers   map[uint64]*busy
 	own       *far
+	credit    float64 // tandem tries that may go out, earned by those that stood
+	creditAt  time.Duration
 	pend      int     // set-ups out over all ways
 	win       float64 // and how many may be
 	winCut    time.Duration
@@ -215,7 +219,7 @@
 		aim = min(aim, c.Aim)
 		k.meanWorth += c.Worth / float64(len(s.Classes))
 	}
-	k.leastAim, k.win = aim, ownStart
+	k.leastAim, k.win, k.credit = aim, ownStart, altSaved
 	return k
 }
 
@@ -273,7 +277,7 @@
 func (k *Controller) list(e Exchanges) {
 	if e.Complete {
 		for _, f := range k.order {
-			f.listed = false
+			f.state = Out
 		}
 	}
 	for _, x := range e.Entries {
@@ -292,7 +296,7 @@
 			continue // word of one that has been replaced already
 		}
 		if x.ID != f.id || x.Since != f.since {
-			if f.listed && f.state == In && x.ID != f.id && x.Since < f.since {
+			if f.state == In && x.ID != f.id && x.Since < f.since {
 				continue
 			}
 			f.lat, f.blocked, f.block, f.eps, f.silent = 0, 0, 0, 0, 0
@@ -301,12 +305,7 @@
 		}
 		delete(k.hosts, f.id) // the table holds one processor a number
 		k.hosts[x.ID] = x.Cell
-		f.id, f.state, f.since, f.listed = x.ID, x.State, x.Since, true
-	}
-	for _, f := range k.order {
-		if !f.listed {
-			f.state = Out
-		}
+		f.id, f.state, f.since = x.ID, x.State, x.Since
 	}
 }
 
@@ -380,10 +379,7 @@
 // some busy notes one try at a time goes out, in ever longer turns. One busy
 // number alone does not fire it. It harms a number whose lines clear at once.
 func (k *Controller) gapped(b *busy) bool {
-	if k.now-b.last > busyFor || b.count < busySigns {
-		return false
-	}
-	return b.pend > 0 || k.now < b.until
+	return k.now-b.last <= busyFor && b.count >= busySigns && (b.pend > 0 || k.now < b.until)
 }
 
 // gone books a caller who left; an attempt that is out is called off.
@@ -426,8 +422,7 @@
 	return max(t, time.Millisecond)
 }
 
-// serve offers waiting calls their turn, in the order of the design, and
-// answers those whose wait is over.
+// serve offers waiting calls their turn and answers those whose wait is over.
 func (k *Controller) serve() {
 	k.sweep()
 	k.sortQueue()
@@ -438,7 +433,8 @@
 		if c.state != waiting {
 			continue
 		}
-		if lower != nil && k.served >= keepEvery && c != lower && c.leadsOver(lower) {
+		if lower != nil && k.served >= keepEvery && !c.Transit && c.Dest == lower.Dest &&
+			c.worth > lower.worth {
 			passed = append(passed, c)
 			continue
 		}
@@ -458,8 +454,6 @@
 	k.arm()
 }
 
-func (c *call) leadsOver(l *call) bool { return !c.Transit && c.Dest == l.Dest && c.worth > l.worth }
-
 // lowest is the longest waiting own call of the cheapest kind; circuits are
 // withheld from dearer ones for it only while it waits.
 func (k *Controller) lowest() *call {
@@ -561,10 +555,8 @@
 
 func (k *Controller) verdict(c *call, r Reason, s Scope, cell int) {
 	k.verdicts[r]++
-	n := k.verdicts[r]
-	log := n&(n-1) == 0 // the 1st, 2nd, 4th, 8th ... of each reason
-	v := Verdict{ID: c.ID, Class: c.Class, Reason: r, Scope: s, Cell: cell, Nth: n, Log: log}
-	k.acts = append(k.acts, v)
+	n := k.verdicts[r] // logged: the 1st, 2nd, 4th, 8th ... of each reason
+	k.acts = append(k.acts, Verdict{c.ID, c.Class, r, s, cell, n, n&(n-1) == 0})
 }
 
 func (k *Controller) finish(c *call) {
@@ -576,9 +568,9 @@
 
 func (k *Controller) refuse(c *call, r Reason, s Scope) {
 	k.verdict(c, r, s, c.Dest)
-	hint := k.set.BackoffMax
-	if c.Transit || !k.set.Backoff {
-		hint = 0
+	hint := time.Duration(0)
+	if !c.Transit && k.set.Backoff {
+		hint = k.set.BackoffMax
 	}
 	k.acts = append(k.acts, Refuse{c.ID, hint})
 	k.finish(c)
@@ -736,7 +728,7 @@
 	return true
 }
 
-// pressed is the smoothed time over the target, fading when nothing is heard.
+// fade is the smoothed time over the target when nothing is heard.
 func (k *Controller) fade(v float64, at time.Duration) float64 {
 	return v * math.Exp2(-float64(k.now-at)/float64(latFade))
 }
@@ -759,10 +751,17 @@
 			return nil
 		}
 	}
+	// What tries may cost follows what they earn. It guards processors against turn-backs in
+	// number, whatever turns the calls back; it harms when second legs clear all at once.
+	k.credit = min(k.credit+altRefill*(k.now-k.creditAt).Seconds(), altSaved)
+	if k.creditAt = k.now; k.credit < 1 {
+		return nil
+	}
 	var best *far
 	vouched := false
 	for _, t := range k.order {
-		if t == d || t == k.own || !t.known || k.now < t.turned[c.Dest].until || !k.skilled(c, t) {
+		if t == d || t == k.own || !t.known || k.now < t.turned[c.Dest].until ||
+			k.set.Pools && !slices.Contains(k.class(c).Pools, t.cell) {
 			continue
 		}
 		if t.free-k.owed(t) < c.Width || k.fade(t.lat, t.latAt) > altPressure {
@@ -779,10 +778,6 @@
 	return best
 }
 
-func (k *Controller) skilled(c *call, t *far) bool {
-	return !k.set.Pools || slices.Contains(k.class(c).Pools, t.cell)
-}
-
 func (k *Controller) send(c *call, f *far, alt bool) {
 	k.served++
 	if c.worth <= k.meanWorth {
@@ -804,6 +799,7 @@
 	c.attempts++
 	if alt {
 		c.alts++
+		k.credit--
 	}
 	switch {
 	case c.Transit:
@@ -840,8 +836,8 @@
 		k.pend--
 	}
 	b := k.numbers[c.Number]
-	if b != nil && b.pend > 0 {
-		b.pend--
+	if b != nil {
+		b.pend = max(b.pend-1, 0)
 	}
 	return b
 }
@@ -864,6 +860,7 @@
 		k.win = min(k.win+1/k.win, windowMost)
 	}
 	if d := k.cells[c.Dest]; c.alt && d != nil {
+		k.credit = min(k.credit+altEarns, altSaved)
 		delete(d.turned, c.Dest)
 		f.turned[c.Dest] = turn{good: k.now + vouchFor}
 	}
@@ -935,32 +932,28 @@
 		d.turnBack(c.Dest, k.now)
 	}
 	switch e.Outcome {
-	case TimedOut, Reset, Cancelled:
-		c.notBefore = k.now + k.set.ReleaseWait + k.set.Tick
-		if e.Outcome != Cancelled && c.alt && !k.set.Pools {
+	case TimedOut, Reset, Cancelled, NoConnect:
+		if e.Outcome != NoConnect {
+			c.notBefore = k.now + k.set.ReleaseWait + k.set.Tick
+		}
+		if c.alt && !k.set.Pools && e.Outcome != NoConnect {
 			f.turnBack(c.Dest, k.now) // what lies behind the tandem may be silent
 		} else if e.Outcome != Cancelled {
 			k.cut(f, windowHalve, e.After)
 			k.stop(f)
 		}
-	case NoConnect:
-		k.cut(f, windowHalve, e.After)
-		k.stop(f)
 	case Full:
-		switch e.Note {
-		case ProcFull:
+		if e.Note == ProcFull {
 			k.cut(f, windowHalve, e.After)
 			f.blocked = max(f.blocked, k.now+e.Wait)
 			if e.Wait == 0 {
 				k.stop(f)
 			}
-		case DestProcFull:
-			f.turnBack(c.Dest, k.now)
-			if d := k.cells[c.Dest]; d != nil {
-				k.cut(d, windowHalve, e.After)
-			}
-		default:
-			f.turnBack(c.Dest, k.now)
+			break
+		}
+		f.turnBack(c.Dest, k.now)
+		if e.Note == DestProcFull {
+			k.cut(k.cells[c.Dest], windowHalve, e.After)
 		}
 	case Moot:
 		if e.Note == NoCircuit {
--- a/brain/design_test.go
+++ b/brain/design_test.go
@@ -470,3 +470,62 @@
 		t.Fatalf("quick answers let only %d more out", n)
 	}
 }
+
+// Tandems that turn calls back in number must not take the processors: tries spend what
+// standing calls earned. A call that is turned back once is harmless.
+func TestTriesOverTandemsFollowWhatTheyEarn(t *testing.T) {
+	tries := func(stand bool) (n int) {
+		set := settings()
+		set.ColdFor = 0
+		r := newRig(t, set, 40)
+		for i := 0; i < 400; i++ {
+			r.circuits(101, 0, 20)
+			for j := uint32(102); j < 140; j++ {
+				r.circuits(j, 20, 20)
+			}
+			r.call(Call{Dest: 1})
+			r.run(50 * ms)
+			for _, c := range append([]*seen(nil), r.pending...) {
+				switch {
+				case c.stood:
+				case stand:
+					n++
+					r.stands(c, 50*ms)
+					r.ends(c, OK, 0, 60*ms)
+				default:
+					n++
+					r.ends(c, Full, TurnedBack, 50*ms)
+				}
+			}
+		}
+		return
+	}
+	if n := tries(false); n > 60 {
+		t.Fatalf("%d tries in 20 s while every one is turned back", n)
+	}
+	if n := tries(true); n < 390 {
+		t.Fatalf("only %d of 400 calls over tandems while every one stands", n)
+	}
+}
+
+// The centre's word on a second leg leads among tandems, and only while it is fresh.
+func TestVouchedTandemComesFirst(t *testing.T) {
+	set := settings()
+	set.Advice = true
+	r := newRig(t, set, 5)
+	r.circuits(101, 0, 0) // a pair without a group
+	r.circuits(102, 9, 20)
+	r.circuits(103, 5, 20)
+	r.circuits(104, 20, 20)
+	if c := r.call(Call{Dest: 1, Through: 3}); c.exchange != 103 {
+		t.Fatalf("over %d, want 103 that the centre names", c.exchange)
+	}
+	r.run(2 * vouchFor)
+	if c := r.call(Call{Dest: 1, Through: 7}); c.exchange != 104 {
+		t.Fatalf("over %d, want 104: the word is old and the new one names nobody", c.exchange)
+	}
+	r.circuits(103, 0, 20)
+	if c := r.call(Call{Dest: 1, Through: 3}); c.exchange != 104 {
+		t.Fatalf("over %d, want 104: the named one has no first leg", c.exchange)
+	}
+}
--- a/brain/rules_test.go
+++ b/brain/rules_test.go
@@ -148,7 +148,7 @@
 	if c.Left == 0 {
 		c.Left = 3 * time.Second
 	}
-	if !c.Transit {
+	if !c.Transit && !r.set.Advice {
 		c.Through = -1
 	}
 	s := &seen{id: c.ID, due: r.now + c.Left, class: c.Class}
