--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,8 +18,8 @@
 	turnedSkip   = 3 * time.Second        // a tandem that turned a call back is skipped so long
 	turnedMost   = 12 * time.Second       // doubled each time up to this
 	altTries     = 2                      // tandems tried for one call
-	altEarns     = 1.3                    // tandem tries that a call standing over one pays for
-	altRefill    = 0.5                    // tries a second that are free
+	altEarns     = 3.0                    // tandem tries that a call standing over one pays for
+	altRefill    = 1.0                    // tries a second that are free
 	altSaved     = 8.0                    // most tries saved up
 	keepEvery    = 5                      // of so many served waiting calls, one is a lower class's
 	targetOfAim  = 0.4                    // send-to-standing time wanted, as a share of the shortest aim
