--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,8 +18,8 @@
 	turnedSkip   = 3 * time.Second        // a tandem that turned a call back is skipped so long
 	turnedMost   = 12 * time.Second       // doubled each time up to this
 	altTries     = 2                      // tandems tried for one call
-	altEarns     = 3.0                    // tandem tries that a call standing over one pays for
-	altRefill    = 1.0                    // tries a second that are free
+	altEarns     = 2.0                    // tandem tries that a call standing over one pays for
+	altFree      = 0.1                    // and every own call
 	altSaved     = 8.0                    // most tries saved up
 	keepEvery    = 5                      // of so many served waiting calls, one is a lower class's
 	targetOfAim  = 0.4                    // send-to-standing time wanted, as a share of the shortest aim
@@ -193,7 +193,6 @@
 	numbers   map[uint64]*busy
 	own       *far
 	credit    float64 // tandem tries that may go out, earned by those that stood
-	creditAt  time.Duration
 	pend      int     // set-ups out over all ways
 	win       float64 // and how many may be
 	winCut    time.Duration
@@ -361,8 +360,11 @@
 		k.own.demand.add(k.now, 1)
 	}
 	k.asked.add(k.now, 1)
-	if a := k.cells[e.Through]; a != nil && !e.Transit && k.set.Advice {
-		a.vouch(e.Dest, k.now)
+	if !e.Transit {
+		k.credit = min(k.credit+altFree, altSaved)
+		if a := k.cells[e.Through]; a != nil && k.set.Advice {
+			a.vouch(e.Dest, k.now)
+		}
 	}
 	if e.Left <= 0 {
 		k.giveUp(c, TimeUp, ScopeCall)
@@ -753,8 +755,7 @@
 	}
 	// What tries may cost follows what they earn. It guards processors against turn-backs in
 	// number, whatever turns the calls back; it harms when second legs clear all at once.
-	k.credit = min(k.credit+altRefill*(k.now-k.creditAt).Seconds(), altSaved)
-	if k.creditAt = k.now; k.credit < 1 {
+	if k.credit < 1 {
 		return nil
 	}
 	var best *far
