--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,5 +1,5 @@
-// Everything that decides stands in this file; the interface it serves is in
-// api.go. docs/design.md tells what follows the paper and what was changed.
+// Everything that decides stands in this file; its interface is in api.go.
+// docs/design.md tells what follows the paper and what was changed.
 package brain
 
 import (
@@ -504,8 +504,7 @@
 	if f == nil {
 		return 0, 0
 	}
-	floor := max(1, f.size/(4*max(len(k.order), 1)))
-	return max(floor-f.transit[c.Through], 0), f.transit[c.Through]
+	return max(max(1, f.size/(4*max(len(k.order), 1)))-f.transit[c.Through], 0), f.transit[c.Through]
 }
 
 // sweep finishes calls whose time or wait is over and forgets the finished.
@@ -611,8 +610,8 @@
 		k.send(c, d, false)
 		return true
 	}
-	if c.Transit && s != ScopeGroup {
-		k.refuse(c, r, s) // waiting at a tandem for a processor only adds to the press
+	if c.Transit && (s != ScopeGroup || d.known && d.size == 0) {
+		k.refuse(c, r, s) // a wait for a processor only adds to the press, one for no group is vain
 		return true
 	}
 	if t := k.tandem(c, d, r); t != nil {
@@ -747,7 +746,7 @@
 	}
 	if !k.set.Pools {
 		if r != WaitRoom && (r != WaitDead || k.now < d.turned[c.Dest].until) {
-			return nil // a try round a silent way that failed speaks for all tandems
+			return nil // a try round a silent way that failed speaks for all
 		}
 		if k.fade(k.press, k.pressAt) > altPressure || k.fade(d.lat, d.latAt) > altPressure {
 			return nil
