--- a/brain/brain.go
+++ b/brain/brain.go
@@ -775,6 +775,9 @@
 			best, vouched = t, good
 		}
 	}
+	if !vouched && k.credit < altSaved/2 {
+		return nil // the rest is for tries that are vouched for
+	}
 	return best
 }
 
