--- a/brain/brain.go
+++ b/brain/brain.go
@@ -652,7 +652,8 @@
 				}
 			}
 		}
-		reserve += int(f.circuits.rate(k.now, k.born) * float64(full) / float64(max(all, 1)))
+		asked := f.circuits.rate(k.now, k.born)
+		reserve += int((asked + math.Sqrt(asked)) * float64(full) / float64(max(all, 1)))
 	}
 	return max(reserve-min(f.direct, max(f.size-f.free, 0)), 0)
 }
@@ -775,9 +776,6 @@
 			best, vouched = t, good
 		}
 	}
-	if !vouched && k.credit < altSaved/2 {
-		return nil // the rest is for tries that are vouched for
-	}
 	return best
 }
 
