--- a/brain/brain.go
+++ b/brain/brain.go
@@ -653,7 +653,7 @@
 			}
 		}
 		asked := f.circuits.rate(k.now, k.born)
-		reserve += int((asked - 2*math.Sqrt(asked)) * float64(full) / float64(max(all, 1)))
+		reserve += int((asked - math.Sqrt(asked)) * float64(full) / float64(max(all, 1)))
 	}
 	return max(reserve-min(f.direct, max(f.size-f.free, 0)), 0)
 }
