--- a/brain/brain.go
+++ b/brain/brain.go
@@ -652,7 +652,8 @@
 				}
 			}
 		}
-		reserve = max(reserve, int(f.circuits.rate(k.now, k.born)*float64(full)/float64(max(all, 1))))
+		asked := f.circuits.rate(k.now, k.born)
+		reserve = max(reserve, int((asked+math.Sqrt(asked))*float64(full)/float64(max(all, 1))))
 	}
 	return max(reserve-min(f.direct, max(f.size-f.free, 0)), 0)
 }
