--- a/brain/brain.go
+++ b/brain/brain.go
@@ -637,9 +637,8 @@
 	return "", ""
 }
 
-// owed is the direct reserve less the direct calls running, floored at 0. The
-// reserve follows the demand of the own direct calls on a group that was full of
-// late, and is the design's elsewhere: on a quiet day it costs nothing.
+// owed is the direct reserve less the direct calls running, floored at 0. On a group that was
+// full of late it follows the own direct demand and its spread: thin groups stay open to transit.
 func (k *Controller) owed(f *far) int {
 	reserve := reserveBase
 	if k.now-f.fullAt < rateSpan {
