--- a/brain/brain.go
+++ b/brain/brain.go
@@ -24,8 +24,10 @@
 	keepEvery    = 5                      // of so many served waiting calls, one is a lower class's
 	targetOfAim  = 0.4                    // send-to-standing time wanted, as a share of the shortest aim
 	targetOfT1   = 0.75                   // the same, as a share of the set-up repeat time
-	windowStart  = 4.0                    // set-ups out to one exchange at the start
-	windowMost   = 32.0                   // and at the most
+	windowShare  = 8.0                    // set-ups that all senders may have out to one slow exchange
+	windowStart  = 4.0                    // set-ups out to one exchange at the start, at the most
+	windowMost   = 32.0                   // and later
+	windowLeast  = 0.125                  // and to a silent one: rests between single set-ups
 	ownStart     = 8.0                    // set-ups out over all ways at the start
 	ownLeast     = 2.0                    // and at the least
 	windowCut    = 0.7                    // factor at a slow answer
@@ -35,13 +37,13 @@
 	latFade      = 3 * time.Second        // smoothed times halve when unheard of for so long
 	rateSpan     = 10 * time.Second       // span of measured demand
 	coldSafety   = 0.8                    // share used of the budget of a cold processor
-	blockFirst   = 500 * time.Millisecond // pause after a sign of a dead far end, doubled each time
-	blockMost    = 4 * time.Second
-	hastyShare   = 0.1              // share of callers leaving early that shortens waits
-	silentSigns  = 2                // signs of silence in a row before a pause
-	busySigns    = 2                // busy notes after which a number is gapped
-	busyFor      = 10 * time.Second // and forgotten after so long without one
-	epsFor       = 2 * time.Second  // a hold-back share counts for so long
+	rest         = 500 * time.Millisecond // between single set-ups at a window of a half
+	gapMost      = 4 * time.Second        // longest turn of a busy number
+	hastyShare   = 0.1                    // share of callers leaving early that shortens waits
+	silentSigns  = 2                      // signs of silence in a row before a rest
+	busySigns    = 2                      // busy notes after which a number is gapped
+	busyFor      = 10 * time.Second       // and forgotten after so long without one
+	epsFor       = 2 * time.Second        // a hold-back share counts for so long
 	glance       = 50 * time.Millisecond
 	ghostHolding = 10 // mean holding times after which a call is no longer counted
 	numbersMost  = 512
@@ -109,9 +111,8 @@
 	lat              float64 // smoothed send-to-standing time over the target
 	latAt, cutAt     time.Duration
 	fullAt           time.Duration // when it last had less than the base reserve free
-	blocked          time.Duration
-	block            time.Duration
-	silent           int // signs of silence since it last answered
+	blocked          time.Duration // no set-up before
+	silent           int           // signs of silence since it last answered
 	eps              float64
 	epsAt            time.Duration
 	demand, circuits meter
@@ -193,6 +194,8 @@
 	numbers   map[uint64]*busy
 	own       *far
 	credit    float64 // tandem tries that may go out, earned by those that stood
+	winStart  float64 // window of a far exchange at its start
+	winLeast  float64 // and while it is slow: less where more senders share it
 	pend      int     // set-ups out over all ways
 	win       float64 // and how many may be
 	winCut    time.Duration
@@ -219,6 +222,8 @@
 		k.meanWorth += c.Worth / float64(len(s.Classes))
 	}
 	k.leastAim, k.win, k.credit = aim, ownStart, altSaved
+	k.winLeast = min(windowShare/float64(max(s.Controllers-1, 1)), 1)
+	k.winStart = max(windowStart*k.winLeast, 1)
 	return k
 }
 
@@ -283,7 +288,7 @@
 		f := k.cells[x.Cell]
 		if f == nil {
 			f = &far{cell: x.Cell, id: x.ID, transit: map[int]int{}, turned: map[int]turn{},
-				win: windowStart, state: Out, classes: make([]share, len(k.set.Classes))}
+				win: k.winStart, state: Out, classes: make([]share, len(k.set.Classes))}
 			k.cells[x.Cell] = f
 			k.order = append(k.order, f)
 			sort.Slice(k.order, func(i, j int) bool { return k.order[i].cell < k.order[j].cell })
@@ -298,8 +303,7 @@
 			if f.state == In && x.ID != f.id && x.Since < f.since {
 				continue
 			}
-			f.lat, f.blocked, f.block, f.eps, f.silent = 0, 0, 0, 0, 0
-			f.win = min(f.win, windowStart)
+			f.lat, f.blocked, f.eps, f.silent, f.win = 0, 0, 0, 0, k.winStart
 			f.tokens, f.tokensAt, f.normal = 1, k.now, f.demand.rate(k.now, k.born)
 		}
 		delete(k.hosts, f.id) // the table holds one processor a number
@@ -682,8 +686,6 @@
 	switch {
 	case f.state != In:
 		return NoExchange, ScopeFar
-	case k.now < f.blocked:
-		return WaitDead, ScopeFar
 	case k.cold(f) && f.tokens < 1:
 		return WaitCold, ScopeFar
 	case k.own != nil && k.cold(k.own) && k.own.tokens < 1:
@@ -704,9 +706,9 @@
 	if c.worth < k.class(c).Worth {
 		win /= 2
 	}
-	if f.pend > 0 && float64(f.pend+1) > win {
+	if k.now < f.blocked || f.pend > 0 && float64(f.pend+1) > win {
 		if f.silent >= silentSigns {
-			return WaitDead, ScopeFar // the one that is out is a trial
+			return WaitDead, ScopeFar // one that is out is a trial
 		}
 		return WaitPress, ScopeFar
 	}
@@ -855,7 +857,7 @@
 	if c.state == out {
 		c.state = standing
 	}
-	f.block, f.silent = 0, 0
+	f.silent = 0
 	if took := float64(e.After) / float64(k.target()); took <= 1 && float64(k.pend+1) >= k.win/2 {
 		k.win = min(k.win+1/k.win, windowMost)
 	}
@@ -877,33 +879,36 @@
 	k.pressAt = k.now
 	switch {
 	case took > 1:
-		k.cut(f, windowCut, e.After)
+		k.cut(f, windowCut, k.winLeast, e.After)
 		if k.now-e.After >= k.winCut {
 			k.winCut, k.win = k.now, max(k.win*windowCut, ownLeast)
 		}
 	case float64(f.pend+1) >= f.win/2:
-		f.win = min(f.win+1/f.win, windowMost)
+		f.win = min(f.win+min(1/f.win, f.win), windowMost)
 	}
 }
 
-// cut narrows the window, once for what went out before the last cut. It
-// answers slow, hung, stalled and flooded processors alike.
-func (k *Controller) cut(f *far, by float64, sent time.Duration) {
+// cut narrows the window, once for what went out before the last cut; below one set-up it
+// is a rest between single ones, since one each from dozens of senders jams a slow processor.
+// It answers slow, ageing, hung, stalled and flooded processors alike; it harms one that
+// recovers at once, for a rest.
+func (k *Controller) cut(f *far, by, least float64, sent time.Duration) {
 	if k.now-sent < f.cutAt {
 		return
 	}
 	f.cutAt = k.now
-	f.win = max(f.win*by, 1)
+	if f.win = max(f.win*by, min(least, f.win)); f.win < 1 {
+		f.blocked = max(f.blocked, k.now+time.Duration((1/f.win-1)*float64(rest)))
+	}
 }
 
-// stop pauses sends to a far end that is silent, twice as long each time until
-// it answers. One sign alone does nothing: a set-up may be lost on the way.
-func (k *Controller) stop(f *far) {
-	if f.silent++; f.silent < silentSigns {
-		return
+// stop narrows the window to a far end that is silent or refuses, to rests from the second
+// sign in a row. One sign alone does little: a set-up may be lost on the way.
+func (k *Controller) stop(f *far, sent time.Duration) {
+	if f.silent++; f.silent >= silentSigns {
+		f.win = min(f.win, 1)
 	}
-	f.block = min(max(2*f.block, blockFirst), blockMost)
-	f.blocked = max(f.blocked, k.now+f.block)
+	k.cut(f, windowHalve, windowLeast, sent)
 }
 
 func (k *Controller) ended(e Ended) {
@@ -939,21 +944,17 @@
 		if c.alt && !k.set.Pools && e.Outcome != NoConnect {
 			f.turnBack(c.Dest, k.now) // what lies behind the tandem may be silent
 		} else if e.Outcome != Cancelled {
-			k.cut(f, windowHalve, e.After)
-			k.stop(f)
+			k.stop(f, e.After)
 		}
 	case Full:
 		if e.Note == ProcFull {
-			k.cut(f, windowHalve, e.After)
+			k.stop(f, e.After)
 			f.blocked = max(f.blocked, k.now+e.Wait)
-			if e.Wait == 0 {
-				k.stop(f)
-			}
 			break
 		}
 		f.turnBack(c.Dest, k.now)
 		if e.Note == DestProcFull {
-			k.cut(k.cells[c.Dest], windowHalve, e.After)
+			k.cut(k.cells[c.Dest], windowHalve, k.winLeast, e.After)
 		}
 	case Moot:
 		if e.Note == NoCircuit {
@@ -992,5 +993,5 @@
 	}
 	b.count++
 	b.last = k.now
-	b.until = k.now + min(blockFirst<<min(b.count, 8), blockMost)
+	b.until = k.now + min(rest<<min(b.count, 8), gapMost)
 }
