--- a/brain/brain.go
+++ b/brain/brain.go
@@ -34,6 +34,7 @@
 	windowHalve  = 0.5                    // at a refusal of a full processor or a sign of silence
 	altPressure  = 0.6                    // no tandem above this share of the target
 	latKeep      = 0.7                    // weight of the past in smoothed times
+	pressKeep    = 0.9                    // the same for the own processor when an answer is slower
 	latFade      = 3 * time.Second        // smoothed times halve when unheard of for so long
 	rateSpan     = 10 * time.Second       // span of measured demand
 	coldSafety   = 0.8                    // share used of the budget of a cold processor
@@ -88,8 +89,8 @@
 	state     phase
 	attempts  int
 	alts      int
-	leg       *far // group of the attempt that is out or stands
-	alt       bool
+	leg       *far    // group of the attempt that is out or stands
+	alt, own  bool    // out over a tandem; counted in the own window
 	worth     float64 // what a refusal costs
 	why       Reason
 	scope     Scope
@@ -199,7 +200,7 @@
 	pend      int     // set-ups out over all ways
 	win       float64 // and how many may be
 	winCut    time.Duration
-	press     float64 // smoothed send-to-standing time over the target, all ways
+	press     float64 // the quicker send-to-standing times over the target, smoothed
 	pressAt   time.Duration
 	tried     map[uint64]time.Duration // numbers called of late: when first
 	triedOld  map[uint64]time.Duration // the generation before
@@ -787,7 +788,8 @@
 	}
 	f.free -= c.Width
 	f.pend++
-	if !alt { // a tandem may hold it for a circuit, which tells nothing of processors
+	// a tandem may hold it for a circuit and a slow far end for long, which tells nothing of the own
+	if c.own = !alt && (f.win >= k.winStart || k.press > altPressure); c.own {
 		k.pend++
 	}
 	f.tokens--
@@ -834,7 +836,7 @@
 // answered books the end of the wait for an answer.
 func (k *Controller) answered(c *call) *busy {
 	c.leg.pend--
-	if !c.alt {
+	if c.own {
 		k.pend--
 	}
 	b := k.numbers[c.Number]
@@ -875,12 +877,17 @@
 	if c.alt && took > 1 {
 		return
 	}
-	k.press = latKeep*k.fade(k.press, k.pressAt) + (1-latKeep)*took
+	// The quick answers tell of the own processor: when they are quick, slow ones are the far ends'.
+	keep := latKeep
+	if took > k.press {
+		keep = pressKeep
+	}
+	k.press += (1 - keep) * (min(took, 2) - k.press)
 	k.pressAt = k.now
 	switch {
 	case took > 1:
 		k.cut(f, windowCut, k.winLeast, e.After)
-		if k.now-e.After >= k.winCut {
+		if k.now-e.After >= k.winCut && k.press > altPressure {
 			k.winCut, k.win = k.now, max(k.win*windowCut, ownLeast)
 		}
 	case float64(f.pend+1) >= f.win/2:
