--- a/brain/brain.go
+++ b/brain/brain.go
@@ -27,7 +27,6 @@
 	windowShare  = 8.0                    // set-ups that all senders may have out to one slow exchange
 	windowStart  = 4.0                    // set-ups out to one exchange at the start, at the most
 	windowMost   = 32.0                   // and later
-	windowLeast  = 0.125                  // and to a silent one: rests between single set-ups
 	ownStart     = 8.0                    // set-ups out over all ways at the start
 	ownLeast     = 2.0                    // and at the least
 	windowCut    = 0.7                    // factor at a slow answer
@@ -891,7 +890,7 @@
 			k.winCut, k.win = k.now, max(k.win*windowCut, ownLeast)
 		}
 	case float64(f.pend+1) >= f.win/2:
-		f.win = min(f.win+min(1/f.win, f.win), windowMost)
+		f.win = min(f.win+min(1/f.win, math.Sqrt(f.win)), windowMost)
 	}
 }
 
@@ -913,9 +912,9 @@
 // sign in a row. One sign alone does little: a set-up may be lost on the way.
 func (k *Controller) stop(f *far, sent time.Duration) {
 	if f.silent++; f.silent >= silentSigns {
-		f.win = min(f.win, 1)
+		f.win = min(f.win, k.winLeast)
 	}
-	k.cut(f, windowHalve, windowLeast, sent)
+	k.cut(f, windowHalve, k.winLeast/4, sent)
 }
 
 func (k *Controller) ended(e Ended) {
