Signs of silence needed grow with the share of answers lost

Cause: at 25% of answers lost, two losses in a row come by chance and closed way after way. It should also catch cut groups and lossy links; harms when one of few far ends is dead and most traffic goes to it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,15 +1,14 @@
-// Everything that decides stands in this file; its interface is in api.go.
-// docs/design.md tells what follows the paper and what was changed.
+// All that decides; its interface is in api.go, what was changed of the paper in docs/design.md.
 package brain
 
 import (
+	"cmp"
 	"math"
 	"slices"
-	"sort"
 	"time"
 )
 
-// Tuned values and bounds. How each was chosen is told in docs/design.md.
+// Tuned values and bounds.
 const (
 	reserveBase  = 2                      // circuits of direct reserve beyond the measured demand
 	dearFactor   = 3.0                    // worth by circuit and second that makes a class dear to another
@@ -27,6 +26,7 @@
 	windowShare  = 8.0                    // set-ups that all senders may have out to one slow exchange
 	windowStart  = 4.0                    // set-ups out to one exchange at the start, at the most
 	windowMost   = 32.0                   // and later
+	windowLeast  = 0.125                  // and to a silent one: rests between single set-ups
 	ownStart     = 8.0                    // set-ups out over all ways at the start
 	ownLeast     = 2.0                    // and at the least
 	windowCut    = 0.7                    // factor at a slow answer
@@ -40,7 +40,8 @@
 	rest         = 500 * time.Millisecond // between single set-ups at a window of a half
 	gapMost      = 4 * time.Second        // longest turn of a busy number
 	hastyShare   = 0.1                    // share of callers leaving early that shortens waits
-	silentSigns  = 2                      // signs of silence in a row before a rest
+	silentSigns  = 2                      // signs of silence in a row before a rest, or more
+	silentChance = 0.02                   // if so many by chance are likelier than this
 	busySigns    = 2                      // busy notes after which a number is gapped
 	busyFor      = 10 * time.Second       // and forgotten after so long without one
 	epsFor       = 2 * time.Second        // a hold-back share counts for so long
@@ -82,18 +83,15 @@
 
 type call struct {
 	Call
-	at, due   time.Duration // arrival; last moment for the final answer
-	waitTill  time.Duration
-	notBefore time.Duration // fifth rule
-	state     phase
-	attempts  int
-	alts      int
-	leg       *far    // group of the attempt that is out or stands
-	alt, own  bool    // out over a tandem; counted in the own window
-	worth     float64 // what a refusal costs
-	why       Reason
-	scope     Scope
-	stood     time.Duration
+	at, due, waitTill time.Duration // arrival; last moments for the final answer and the wait
+	notBefore, stood  time.Duration // fifth rule; when it stood
+	state             phase
+	attempts, alts    int
+	leg               *far    // group of the attempt that is out or stands
+	alt, own          bool    // out over a tandem; counted in the own window
+	worth             float64 // what a refusal costs
+	why               Reason
+	scope             Scope
 }
 
 // far is a far exchange (or pool) with the own trunk group towards it.
@@ -101,26 +99,20 @@
 	cell             int
 	id               uint32
 	state            State
-	since            time.Duration
 	known            bool
 	free, size       int
-	direct           int         // circuits of own direct calls in flight
-	transit          map[int]int // circuits in flight by transit source
-	pend             int         // set-ups out and unanswered
-	win              float64
-	lat              float64 // smoothed send-to-standing time over the target
-	latAt, cutAt     time.Duration
+	direct           int           // circuits of own direct calls in flight
+	transit          map[int]int   // circuits in flight by transit source
+	pend, silent     int           // set-ups unanswered; signs of silence since it last answered
+	win, lat, eps    float64       // window; smoothed send-to-standing time over the target; hold-back share
+	tokens, normal   float64       // when cold; demand when its processor started: redials since do not count
 	fullAt           time.Duration // when it last had less than the base reserve free
 	blocked          time.Duration // no set-up before
-	silent           int           // signs of silence since it last answered
-	eps              float64
-	epsAt            time.Duration
 	demand, circuits meter
-	classes          []share // of own direct calls, by class
-	tokens           float64
-	normal           float64 // demand when its processor started: redials since do not count
-	tokensAt         time.Duration
-	turned           map[int]turn // by destination, as a tandem: what is known of its second leg
+	classes          []share       // of own direct calls, by class
+	turned           map[int]*turn // by destination, as a tandem: what is known of its second leg
+
+	since, latAt, cutAt, epsAt, tokensAt time.Duration
 }
 
 // share is what one class of own direct calls asks of a group and has of it.
@@ -133,23 +125,23 @@
 // it turned back, and when it was last vouched for, by the centre or by a call that stood.
 type turn struct{ until, skip, good time.Duration }
 
-func (f *far) vouch(dest int, now time.Duration) {
-	t := f.turned[dest]
-	t.good = now + vouchFor
-	f.turned[dest] = t
+func (f *far) second(dest int) *turn {
+	if f.turned[dest] == nil {
+		f.turned[dest] = &turn{}
+	}
+	return f.turned[dest]
 }
 
 // turnBack skips the tandem for this destination, twice as long each time in a
 // row. It saves the work of calls that go one leg far, whatever blocks the
 // second; it harms when the second leg clears soon after.
 func (f *far) turnBack(dest int, now time.Duration) {
-	t := f.turned[dest]
+	t := f.second(dest)
 	if now-t.until > turnedMost {
 		t.skip = 0
 	}
 	t.skip = min(max(2*t.skip, turnedSkip), turnedMost)
 	t.until, t.good = now+t.skip, 0
-	f.turned[dest] = t
 }
 
 // meter measures a rate per second over rateSpan.
@@ -176,39 +168,38 @@
 
 // Controller decides for one exchange.
 type Controller struct {
-	set       Settings
-	now       time.Duration
-	born      time.Duration
-	seen      bool
-	leastAim  time.Duration
-	asked     meter         // calls handed over
-	hasty     meter         // callers who left before their time
-	patience  time.Duration // how long those stayed, smoothed
-	meanWorth float64
-	cells     map[int]*far
-	order     []*far // by number
-	hosts     map[uint32]int
-	calls     map[string]*call
-	open      []*call // not finished, by arrival
-	queue     []*call // waiting
-	numbers   map[uint64]*busy
-	own       *far
-	credit    float64 // tandem tries that may go out, earned by those that stood
-	winStart  float64 // window of a far exchange at its start
-	winLeast  float64 // and while it is slow: less where more senders share it
-	pend      int     // set-ups out over all ways
-	win       float64 // and how many may be
-	winCut    time.Duration
-	press     float64 // the quicker send-to-standing times over the target, smoothed
-	pressAt   time.Duration
-	tried     map[uint64]time.Duration // numbers called of late: when first
-	triedOld  map[uint64]time.Duration // the generation before
-	triedAt   time.Duration
-	served    int // waiting calls served since a lower class was
-	wakeAt    time.Duration
-	token     uint64
-	verdicts  map[Reason]int
-	acts      []Action
+	set             Settings
+	now, born       time.Duration
+	seen            bool
+	leastAim        time.Duration
+	asked           meter         // calls handed over
+	heard           meter         // ends of waits for an answer
+	lost            meter         // those that lost it
+	hasty           meter         // callers who left before their time
+	patience        time.Duration // how long those stayed, smoothed
+	meanWorth       float64
+	cells           map[int]*far
+	order           []*far // by number
+	hosts           map[uint32]int
+	calls           map[string]*call
+	open            []*call // not finished, by arrival
+	queue           []*call // waiting
+	numbers         map[uint64]*busy
+	own             *far
+	credit          float64 // tandem tries that may go out, earned by those that stood
+	winStart        float64 // window of a far exchange at its start
+	winLeast        float64 // and while it is slow: less where more senders share it
+	pend            int     // set-ups out over all ways
+	win             float64 // and how many may be
+	press           float64 // the quicker send-to-standing times over the target, smoothed
+	winCut, pressAt time.Duration
+	tried, triedOld map[uint64]time.Duration // numbers called of late and before: when first
+	triedAt         time.Duration
+	served          int // waiting calls served since a lower class was
+	wakeAt          time.Duration
+	token           uint64
+	verdicts        map[Reason]int
+	acts            []Action
 }
 
 // New starts a controller that knows nothing but its settings.
@@ -248,8 +239,8 @@
 		k.stands(e)
 	case Ended:
 		k.ended(e)
-	case Alarm:
-		if now >= k.wakeAt { // else one that an earlier one has replaced: it must not start a row of its own
+	case Alarm: // one that an earlier one has replaced must not start a row of its own
+		if now >= k.wakeAt {
 			k.wakeAt = 0
 		}
 	}
@@ -287,11 +278,11 @@
 	for _, x := range e.Entries {
 		f := k.cells[x.Cell]
 		if f == nil {
-			f = &far{cell: x.Cell, id: x.ID, transit: map[int]int{}, turned: map[int]turn{},
+			f = &far{cell: x.Cell, id: x.ID, transit: map[int]int{}, turned: map[int]*turn{},
 				win: k.winStart, state: Out, classes: make([]share, len(k.set.Classes))}
 			k.cells[x.Cell] = f
 			k.order = append(k.order, f)
-			sort.Slice(k.order, func(i, j int) bool { return k.order[i].cell < k.order[j].cell })
+			slices.SortFunc(k.order, func(a, b *far) int { return a.cell - b.cell })
 			if x.Cell == k.set.Self {
 				k.own = f
 			}
@@ -351,23 +342,23 @@
 	c.waitTill = min(k.now+wait, c.due)
 	k.calls[c.ID] = c
 	k.open = append(k.open, c)
+	if k.own != nil {
+		k.own.demand.add(k.now, 1)
+	}
+	k.asked.add(k.now, 1)
 	if f := k.cells[e.Dest]; f != nil {
 		f.demand.add(k.now, 1)
-		if !e.Transit {
-			f.circuits.add(k.now, float64(e.Width)*cl.Holding.Seconds())
+		if seconds := float64(e.Width) * cl.Holding.Seconds(); !e.Transit {
+			f.circuits.add(k.now, seconds)
 			if !e.Repeat {
-				f.classes[e.Class].demand.add(k.now, float64(e.Width)*cl.Holding.Seconds())
+				f.classes[e.Class].demand.add(k.now, seconds)
 			}
 		}
 	}
-	if k.own != nil {
-		k.own.demand.add(k.now, 1)
-	}
-	k.asked.add(k.now, 1)
 	if !e.Transit {
 		k.credit = min(k.credit+altFree, altSaved)
 		if a := k.cells[e.Through]; a != nil && k.set.Advice {
-			a.vouch(e.Dest, k.now)
+			a.second(e.Dest).good = k.now + vouchFor
 		}
 	}
 	if e.Left <= 0 {
@@ -395,7 +386,7 @@
 		return
 	}
 	if k.now < c.due-k.set.Tick {
-		if k.hasty.rate(k.now, k.born) == 0 {
+		if k.hasty.sum == 0 {
 			k.patience = k.now - c.at
 		}
 		k.hasty.add(k.now, 1)
@@ -478,26 +469,18 @@
 // sortQueue: own callers first; then the transit source with the largest floor
 // shortfall, else the one with fewest in flight; within a source the dearest.
 func (k *Controller) sortQueue() {
-	sort.SliceStable(k.queue, func(i, j int) bool {
-		a, b := k.queue[i], k.queue[j]
-		if a.Transit != b.Transit {
-			return b.Transit
-		}
-		if a.Transit && a.Through != b.Through {
+	slices.SortStableFunc(k.queue, func(a, b *call) int {
+		switch {
+		case a.Transit && !b.Transit:
+			return 1
+		case b.Transit && !a.Transit:
+			return -1
+		case a.Transit && a.Through != b.Through:
 			sa, fa := k.shortfall(a)
 			sb, fb := k.shortfall(b)
-			if sa != sb {
-				return sa > sb
-			}
-			if fa != fb {
-				return fa < fb
-			}
-			return a.Through < b.Through
-		}
-		if a.worth != b.worth {
-			return a.worth > b.worth
+			return cmp.Or(sb-sa, fa-fb, a.Through-b.Through)
 		}
-		return a.at < b.at
+		return cmp.Or(cmp.Compare(b.worth, a.worth), cmp.Compare(a.at, b.at))
 	})
 }
 
@@ -518,13 +501,11 @@
 		switch {
 		case c.state == done:
 			continue
+		case c.state == standing && k.now-c.stood > ghostHolding*k.class(c).Holding:
+			k.release(c) // guards the counts against an end that never came
+			k.finish(c)
+			continue
 		case c.state == standing:
-			if k.now-c.stood > ghostHolding*k.class(c).Holding {
-				k.release(c) // guards the counts against an end that never came
-				delete(k.calls, c.ID)
-				c.state = done
-				continue
-			}
 		case k.now >= c.due:
 			k.giveUp(c, TimeUp, ScopeCall)
 			continue
@@ -589,7 +570,7 @@
 
 // hold keeps the call waiting and notes why.
 func (k *Controller) hold(c *call, r Reason, s Scope) bool {
-	if c.why != r && c.why == "" {
+	if c.why == "" {
 		k.verdict(c, r, s, c.Dest)
 	}
 	c.why, c.scope = r, s
@@ -631,11 +612,11 @@
 	if r, s := k.closed(c, d); r != "" {
 		return r, s
 	}
-	need := c.Width + k.dearOwed(c, d)
+	owed := k.dearOwed(c, d)
 	if c.Transit {
-		need = c.Width + max(k.owed(d), k.dearOwed(c, d))
+		owed = max(owed, k.owed(d))
 	}
-	if d.known && d.free < need {
+	if d.known && d.free < c.Width+owed {
 		return WaitRoom, ScopeGroup
 	}
 	return "", ""
@@ -707,7 +688,7 @@
 		win /= 2
 	}
 	if k.now < f.blocked || f.pend > 0 && float64(f.pend+1) > win {
-		if f.silent >= silentSigns {
+		if f.silent >= k.signs() {
 			return WaitDead, ScopeFar // one that is out is a trial
 		}
 		return WaitPress, ScopeFar
@@ -739,15 +720,14 @@
 // tandem picks the one whose own first leg has most circuits free beyond the
 // owed reserve. A tandem costs a third processor, so it is for circuits that
 // lack and for a direct way that is silent, not for processors that are pressed.
-// It guards against a pair that has lost each other; where the far end itself is
-// dead, the tandems turn the call back and are skipped. Tandems vouched for come first:
+// It guards against a pair that has lost each other. Tandems vouched for come first:
 // where many exchanges share few circuits, most second legs are full or not there.
 func (k *Controller) tandem(c *call, d *far, r Reason) *far {
 	if c.Transit || c.alts >= altTries {
 		return nil
 	}
 	if !k.set.Pools {
-		if r != WaitRoom && (r != WaitDead || k.now < d.turned[c.Dest].until) {
+		if r != WaitRoom && (r != WaitDead || k.now < d.second(c.Dest).until) {
 			return nil // a try round a silent way that failed speaks for all
 		}
 		if k.fade(k.press, k.pressAt) > altPressure || k.fade(d.lat, d.latAt) > altPressure {
@@ -762,7 +742,7 @@
 	var best *far
 	vouched := false
 	for _, t := range k.order {
-		if t == d || t == k.own || !t.known || k.now < t.turned[c.Dest].until ||
+		if t == d || t == k.own || !t.known || k.now < t.second(c.Dest).until ||
 			k.set.Pools && !slices.Contains(k.class(c).Pools, t.cell) {
 			continue
 		}
@@ -772,7 +752,7 @@
 		if why, _ := k.closed(c, t); why != "" {
 			continue
 		}
-		good := k.now < t.turned[c.Dest].good
+		good := k.now < t.second(c.Dest).good
 		if best == nil || good && !vouched || good == vouched && t.free > best.free {
 			best, vouched = t, good
 		}
@@ -834,6 +814,7 @@
 
 // answered books the end of the wait for an answer.
 func (k *Controller) answered(c *call) *busy {
+	k.heard.add(k.now, 1)
 	c.leg.pend--
 	if c.own {
 		k.pend--
@@ -865,7 +846,7 @@
 	if d := k.cells[c.Dest]; c.alt && d != nil {
 		k.credit = min(k.credit+altEarns, altSaved)
 		delete(d.turned, c.Dest)
-		f.turned[c.Dest] = turn{good: k.now + vouchFor}
+		f.turned[c.Dest] = &turn{good: k.now + vouchFor}
 	}
 	took := float64(e.After) / float64(k.target())
 	if c.alt {
@@ -873,15 +854,12 @@
 	}
 	f.lat = latKeep*k.fade(f.lat, f.latAt) + (1-latKeep)*took
 	f.latAt = k.now
-	if c.alt && took > 1 {
-		return
-	}
 	// The quick answers tell of the own processor: when they are quick, slow ones are the far ends'.
-	keep := latKeep
 	if took > k.press {
-		keep = pressKeep
+		k.press += (1 - pressKeep) * (min(took, 2) - k.press)
+	} else {
+		k.press += (1 - latKeep) * (took - k.press)
 	}
-	k.press += (1 - keep) * (min(took, 2) - k.press)
 	k.pressAt = k.now
 	switch {
 	case took > 1:
@@ -908,13 +886,21 @@
 	}
 }
 
+// signs tells how many losses in a row speak for a far end that is silent: more, the larger
+// the share of all answers that is lost, since then as many come by chance.
+func (k *Controller) signs() int {
+	p := k.lost.rate(k.now, k.born) / (k.heard.rate(k.now, k.born) + 1) // few answers tell little
+	return max(silentSigns, 1+int(math.Log(silentChance)/math.Log(min(max(p, 1e-9), 0.5))))
+}
+
 // stop narrows the window to a far end that is silent or refuses, to rests from the second
 // sign in a row. One sign alone does little: a set-up may be lost on the way.
 func (k *Controller) stop(f *far, sent time.Duration) {
-	if f.silent++; f.silent >= silentSigns {
-		f.win = min(f.win, k.winLeast)
+	least := 1.0
+	if f.silent++; f.silent >= k.signs() {
+		f.win, least = min(f.win, 1), windowLeast
 	}
-	k.cut(f, windowHalve, k.winLeast/4, sent)
+	k.cut(f, windowHalve, least, sent)
 }
 
 func (k *Controller) ended(e Ended) {
@@ -928,6 +914,9 @@
 	f, stood := c.leg, c.stood > 0
 	if !stood {
 		b := k.answered(c)
+		if e.Outcome == TimedOut || e.Outcome == Reset {
+			k.lost.add(k.now, 1)
+		}
 		if e.Outcome == Failed && e.Note == LinesBusy {
 			k.busyNote(c.Number, b)
 		}
@@ -939,7 +928,7 @@
 		return
 	}
 	c.state = waiting
-	if d := k.cells[c.Dest]; c.alt && d != nil && d.silent >= silentSigns && e.Outcome != Moot {
+	if d := k.cells[c.Dest]; c.alt && d != nil && d.silent >= k.signs() && e.Outcome != Moot {
 		d.turnBack(c.Dest, k.now)
 	}
 	switch e.Outcome {
