--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,6 +41,7 @@
 	gapMost      = 4 * time.Second        // longest turn of a busy number
 	hastyShare   = 0.1                    // share of callers leaving early that shortens waits
 	silentSigns  = 2                      // signs of silence in a row before a rest, or more
+	lossLeast    = 0.05                   // share of answers lost that shortens time-outs
 	silentChance = 0.02                   // if so many by chance are likelier than this
 	busySigns    = 2                      // busy notes after which a number is gapped
 	busyFor      = 10 * time.Second       // and forgotten after so long without one
@@ -791,7 +792,21 @@
 		f.direct += c.Width
 		f.classes[c.Class].running += c.Width
 	}
-	k.acts = append(k.acts, Send{c.ID, f.id, c.due - k.now})
+	k.acts = append(k.acts, Send{c.ID, f.id, k.timeout(c, alt)})
+}
+
+// timeout is the time left, or less where answers get lost while processors are quick, so that
+// a further try can stand within the aim. It guards against losses of any cause; it harms
+// where the slow tail of good answers is long, by set-ups done twice.
+func (k *Controller) timeout(c *call, alt bool) time.Duration {
+	left, soon := c.due-k.now, k.target()
+	if alt {
+		soon += waitLeast // a tandem may wait for a circuit
+	}
+	if k.lossShare() < lossLeast || k.press > altPressure || soon+k.set.ReleaseWait+k.target() > left {
+		return left
+	}
+	return soon
 }
 
 // release takes the call out of the counts.
@@ -889,8 +904,12 @@
 // signs tells how many losses in a row speak for a far end that is silent: more, the larger
 // the share of all answers that is lost, since then as many come by chance.
 func (k *Controller) signs() int {
-	p := k.lost.rate(k.now, k.born) / (k.heard.rate(k.now, k.born) + 1) // few answers tell little
-	return max(silentSigns, 1+int(math.Log(silentChance)/math.Log(min(max(p, 1e-9), 0.5))))
+	return max(silentSigns, 1+int(math.Log(silentChance)/math.Log(min(max(k.lossShare(), 1e-9), 0.5))))
+}
+
+// lossShare is the share of answers that was lost of late; few answers tell little.
+func (k *Controller) lossShare() float64 {
+	return k.lost.rate(k.now, k.born) / (k.heard.rate(k.now, k.born) + 1)
 }
 
 // stop narrows the window to a far end that is silent or refuses, to rests from the second
