--- a/brain/brain.go
+++ b/brain/brain.go
@@ -175,7 +175,6 @@
 	leastAim        time.Duration
 	asked           meter         // calls handed over
 	heard           meter         // ends of waits for an answer
-	lost            meter         // those that lost it
 	mute            meter         // and that by silence
 	hasty           meter         // callers who left before their time
 	patience        time.Duration // how long those stayed, smoothed
@@ -804,7 +803,7 @@
 	if alt {
 		soon += waitLeast // a tandem may wait for a circuit
 	}
-	if k.share(&k.mute) < lossLeast || k.press > altPressure || k.fade(c.leg.lat, c.leg.latAt) > altPressure ||
+	if k.muteShare() < lossLeast || k.press > altPressure || k.fade(c.leg.lat, c.leg.latAt) > altPressure ||
 		soon+k.set.ReleaseWait+k.target() > left {
 		return left
 	}
@@ -906,12 +905,12 @@
 // signs tells how many losses in a row speak for a far end that is silent: more, the larger
 // the share of all answers that is lost, since then as many come by chance.
 func (k *Controller) signs() int {
-	return max(silentSigns, 1+int(math.Log(silentChance)/math.Log(min(max(k.share(&k.lost), 1e-9), 0.5))))
+	return max(silentSigns, 1+int(math.Log(silentChance)/math.Log(min(max(k.muteShare(), 1e-9), 0.5))))
 }
 
-// share is the share of answers that was lost of late; few answers tell little.
-func (k *Controller) share(of *meter) float64 {
-	return of.rate(k.now, k.born) / (k.heard.rate(k.now, k.born) + 1)
+// muteShare is the share of set-ups that found silence of late; few tell little.
+func (k *Controller) muteShare() float64 {
+	return k.mute.rate(k.now, k.born) / (k.heard.rate(k.now, k.born) + 1)
 }
 
 // stop narrows the window to a far end that is silent or refuses, to rests from the second
@@ -935,11 +934,8 @@
 	f, stood := c.leg, c.stood > 0
 	if !stood {
 		b := k.answered(c)
-		if e.Outcome == TimedOut || e.Outcome == Reset {
-			k.lost.add(k.now, 1)
-			if e.Outcome == TimedOut {
-				k.mute.add(k.now, 1)
-			}
+		if e.Outcome == TimedOut {
+			k.mute.add(k.now, 1)
 		}
 		if e.Outcome == Failed && e.Note == LinesBusy {
 			k.busyNote(c.Number, b)
@@ -962,8 +958,8 @@
 		}
 		if c.alt && !k.set.Pools && e.Outcome != NoConnect {
 			f.turnBack(c.Dest, k.now) // what lies behind the tandem may be silent
-		} else if e.Outcome != Cancelled {
-			k.stop(f, e.After)
+		} else if e.Outcome == TimedOut || e.Outcome == NoConnect {
+			k.stop(f, e.After) // a reset is an answer
 		}
 	case Full:
 		if e.Note == ProcFull {
