--- a/brain/brain.go
+++ b/brain/brain.go
@@ -191,6 +191,8 @@
 	winStart        float64 // window of a far exchange at its start
 	winLeast        float64 // and while it is slow: less where more senders share it
 	pend            int     // set-ups out over all ways
+	full            float64 // share of own groups full of late, at fullAt
+	fullAt          time.Duration
 	win             float64 // and how many may be
 	press           float64 // the quicker send-to-standing times over the target, smoothed
 	winCut, pressAt time.Duration
@@ -222,7 +224,7 @@
 // Handle takes one event and returns what to do about it.
 func (k *Controller) Handle(now time.Duration, e Event) []Action {
 	if !k.seen {
-		k.seen, k.born = true, now
+		k.seen, k.born, k.fullAt = true, now, now-1
 	}
 	k.now, k.acts = now, nil
 	switch e := e.(type) {
@@ -628,7 +630,16 @@
 func (k *Controller) owed(f *far) int {
 	reserve := reserveBase
 	if k.now-f.fullAt < rateSpan {
-		full, all := 0, 0
+		asked := f.circuits.rate(k.now, k.born)
+		reserve = max(reserve, int((asked+math.Sqrt(asked))*k.fullShare()))
+	}
+	return max(reserve-min(f.direct, max(f.size-f.free, 0)), 0)
+}
+
+// fullShare is the share of own groups that were full of late, counted once a moment.
+func (k *Controller) fullShare() float64 {
+	if k.fullAt != k.now {
+		full, all := 0.0, 1e-9
 		for _, o := range k.order {
 			if o.size > 0 {
 				all++
@@ -637,10 +648,9 @@
 				}
 			}
 		}
-		asked := f.circuits.rate(k.now, k.born)
-		reserve = max(reserve, int((asked+math.Sqrt(asked))*float64(full)/float64(max(all, 1))))
+		k.fullAt, k.full = k.now, full/all
 	}
-	return max(reserve-min(f.direct, max(f.size-f.free, 0)), 0)
+	return k.full
 }
 
 // dearOwed is kept back on a group for classes that are worth far more by the
@@ -681,7 +691,7 @@
 		return WaitPress, ScopeOwn
 	}
 	win := f.win
-	if f.eps > 0 && k.now-f.epsAt < epsFor {
+	if k.now-f.epsAt < epsFor {
 		win *= 1 - f.eps
 	}
 	win += dear
@@ -743,18 +753,14 @@
 	var best *far
 	vouched := false
 	for _, t := range k.order {
-		if t == d || t == k.own || !t.known || k.now < t.second(c.Dest).until ||
-			k.set.Pools && !slices.Contains(k.class(c).Pools, t.cell) {
-			continue
-		}
-		if t.free-k.owed(t) < c.Width || k.fade(t.lat, t.latAt) > altPressure {
-			continue
-		}
-		if why, _ := k.closed(c, t); why != "" {
+		good := k.now < t.second(c.Dest).good
+		if t == d || t == k.own || !t.known || best != nil && (vouched && !good ||
+			good == vouched && t.free <= best.free) || k.now < t.second(c.Dest).until ||
+			k.set.Pools && !slices.Contains(k.class(c).Pools, t.cell) ||
+			t.free-k.owed(t) < c.Width || k.fade(t.lat, t.latAt) > altPressure {
 			continue
 		}
-		good := k.now < t.second(c.Dest).good
-		if best == nil || good && !vouched || good == vouched && t.free > best.free {
+		if why, _ := k.closed(c, t); why == "" {
 			best, vouched = t, good
 		}
 	}
