--- a/brain/design_test.go
+++ b/brain/design_test.go
@@ -545,13 +545,13 @@
 			if c := r.call(Call{Dest: 1 + i%4}); c.out {
 				last = r.sent()[0].Timeout
 				r.run(50 * ms)
-				if lose > 0 && i%lose == 0 {
-					r.ends(c, TimedOut, 0, 50*ms)
-					r.handle(CallGone{ID: c.id})
-					c.answered = true
-				} else {
-					r.stands(c, 50*ms)
-					r.ends(c, OK, 0, 60*ms)
+				for _, p := range append([]*seen(nil), r.pending...) {
+					if p == c && lose > 0 && i%lose == 0 {
+						r.ends(p, TimedOut, 0, 50*ms)
+					} else {
+						r.stands(p, 50*ms)
+						r.ends(p, OK, 0, 60*ms)
+					}
 				}
 			}
 			r.run(50 * ms)
