--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,6 +41,7 @@
 	gapMost      = 4 * time.Second        // longest turn of a busy number
 	hastyShare   = 0.1                    // share of callers leaving early that shortens waits
 	silentSigns  = 2                      // signs of silence in a row before a rest, or more
+	tardyShare   = 0.3                    // but not where slow answers are more than this to one lost
 	lossLeast    = 0.05                   // share of answers lost that shortens time-outs
 	silentChance = 0.02                   // if so many by chance are likelier than this
 	busySigns    = 2                      // busy notes after which a number is gapped
@@ -176,6 +177,7 @@
 	asked           meter         // calls handed over
 	heard           meter         // ends of waits for an answer
 	mute            meter         // and that by silence
+	tardy           meter         // and those that were slow
 	hasty           meter         // callers who left before their time
 	patience        time.Duration // how long those stayed, smoothed
 	meanWorth       float64
@@ -789,8 +791,8 @@
 	if alt {
 		soon += waitLeast // a tandem may wait for a circuit
 	}
-	if k.muteShare() < lossLeast || k.press > altPressure || k.fade(c.leg.lat, c.leg.latAt) > altPressure ||
-		soon+k.set.ReleaseWait+k.target() > left {
+	if k.muteShare() < lossLeast || k.tardy.rate(k.now, 0) > tardyShare*k.mute.rate(k.now, 0) ||
+		k.press > altPressure || c.leg.lat > altPressure || soon+k.set.ReleaseWait+k.target() > left {
 		return left
 	}
 	return soon
@@ -865,6 +867,7 @@
 	k.pressAt = k.now
 	switch {
 	case took > 1:
+		k.tardy.add(k.now, 1)
 		k.cut(f, windowCut, k.winLeast, e.After)
 		if k.now-e.After >= k.winCut && k.press > altPressure {
 			k.winCut, k.win = k.now, max(k.win*windowCut, ownLeast)
