--- a/brain/brain.go
+++ b/brain/brain.go
@@ -680,9 +680,6 @@
 		return WaitPress, ScopeOwn
 	}
 	win := f.win
-	if k.now-f.epsAt < epsFor {
-		win *= 1 - f.eps
-	}
 	win += dear
 	if c.worth < k.class(c).Worth {
 		win /= 2
