--- a/brain/brain.go
+++ b/brain/brain.go
@@ -680,6 +680,9 @@
 		return WaitPress, ScopeOwn
 	}
 	win := f.win
+	if k.now-f.epsAt < epsFor {
+		win *= 1 - f.eps
+	}
 	win += dear
 	if c.worth < k.class(c).Worth {
 		win /= 2
@@ -757,6 +760,10 @@
 	if c.own = !alt && (f.win >= k.winStart || k.press > altPressure); c.own {
 		k.pend++
 	}
+	if k.now-f.epsAt < epsFor { // the share that it asks to hold back, as a rest
+		gap := f.eps / max(1-f.eps, 0.1) / max(f.demand.rate(k.now, k.born), 0.1)
+		f.blocked = max(f.blocked, k.now+time.Duration(min(gap, 4)*float64(time.Second)))
+	}
 	f.tokens--
 	if k.own != nil {
 		k.own.tokens--
