--- a/brain/brain.go
+++ b/brain/brain.go
@@ -762,7 +762,7 @@
 	}
 	if k.now-f.epsAt < epsFor { // the share that it asks to hold back, as a rest
 		gap := f.eps / max(1-f.eps, 0.1) / max(f.demand.rate(k.now, k.born), 0.1)
-		f.blocked = max(f.blocked, k.now+time.Duration(min(gap, 4)*float64(time.Second)))
+		f.blocked = max(f.blocked, k.now+time.Duration(min(gap, 1)*float64(time.Second)))
 	}
 	f.tokens--
 	if k.own != nil {
