--- a/brain/api.go
+++ b/brain/api.go
@@ -199,11 +199,6 @@
 		Token uint64
 		After time.Duration
 	}
-	// Tell sends a message to another controller.
-	Tell struct {
-		To   int
-		Data []byte
-	}
 	// Verdict records why a call waited, was refused or rerouted.
 	Verdict struct {
 		ID     string
@@ -221,5 +216,4 @@
 func (GiveUp) action()  {}
 func (Cancel) action()  {}
 func (Wake) action()    {}
-func (Tell) action()    {}
 func (Verdict) action() {}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -48,9 +48,7 @@
 	busyFor      = 10 * time.Second       // and forgotten after so long without one
 	epsFor       = 2 * time.Second        // a hold-back share counts for so long
 	glance       = 50 * time.Millisecond
-	tellEvery    = 300 * time.Millisecond // between two messages to one controller
-	tellMost     = 256         // bytes
-	ghostHolding = 10          // mean holding times after which a call is no longer counted
+	ghostHolding = 10 // mean holding times after which a call is no longer counted
 	numbersMost  = 512
 	triedMost    = 4096
 	vouchFor     = 500 * time.Millisecond // word that a tandem reaches a destination counts so long
@@ -116,7 +114,7 @@
 	classes          []share       // of own direct calls, by class
 	turned           map[int]*turn // by destination, as a tandem: what is known of its second leg
 
-	since, latAt, cutAt, epsAt, tokensAt, tellAt time.Duration
+	since, latAt, cutAt, epsAt, tokensAt time.Duration
 }
 
 // share is what one class of own direct calls asks of a group and has of it.
@@ -246,8 +244,6 @@
 		k.stands(e)
 	case Ended:
 		k.ended(e)
-	case Peer:
-		k.peer(e)
 	case Alarm: // one that an earlier one has replaced must not start a row of its own
 		if now >= k.wakeAt {
 			k.wakeAt = 0
@@ -555,43 +551,9 @@
 		hint = k.set.BackoffMax
 	}
 	k.acts = append(k.acts, Refuse{c.ID, hint})
-	if c.Transit {
-		k.tell(c.Through)
-	}
 	k.finish(c)
 }
 
-// tell answers a call turned back, where controllers may write to each other, with a bit for each
-// exchange towards which this one has room for transit: the second legs that the source cannot see.
-func (k *Controller) tell(to int) {
-	f := k.cells[to]
-	if !k.set.Peers || k.set.Me != k.set.Self || f == nil || k.now < f.tellAt {
-		return
-	}
-	f.tellAt = k.now + tellEvery
-	room := make([]byte, min(k.order[len(k.order)-1].cell/8+1, tellMost))
-	for _, o := range k.order {
-		if o.state == In && o.free > k.owed(o) && o.cell/8 < len(room) {
-			room[o.cell/8] |= 1 << (o.cell % 8)
-		}
-	}
-	k.acts = append(k.acts, Tell{to, room})
-}
-
-func (k *Controller) peer(e Peer) {
-	t := k.cells[e.From]
-	for _, d := range k.order {
-		if t == nil || d.cell/8 >= len(e.Data) {
-			return
-		}
-		if s := t.second(d.cell); e.Data[d.cell/8]>>(d.cell%8)&1 == 1 {
-			s.good = k.now + turnedSkip
-		} else {
-			s.until, s.good = max(s.until, k.now+turnedSkip), 0
-		}
-	}
-}
-
 func (k *Controller) giveUp(c *call, r Reason, s Scope) {
 	k.verdict(c, r, s, c.Dest)
 	k.acts = append(k.acts, GiveUp{c.ID})
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -220,11 +219,7 @@
 	case "Bell":
 		return brain.Alarm{Token: *e.Nonce}, nil
 	case "PeerData":
-		data, err := hex.DecodeString(*e.Payload)
-		if err != nil {
-			return nil, fmt.Errorf("field payload: not hexadecimal: %q", *e.Payload)
-		}
-		return brain.Peer{From: *e.By, Data: data}, nil
+		return brain.Peer{From: *e.By, Data: []byte(*e.Payload)}, nil
 	case "ProbeResult":
 		return brain.Circuits{Exchange: *e.Exchange, OK: *e.Reason == 200, Asked: span(e.CostTime) > 0,
 			After: span(e.CostTime), Report: report(e.Load)}, nil
@@ -278,8 +273,6 @@
 	case brain.Wake:
 		ns := int64(a.After)
 		w.What, w.Nonce, w.Delay = "SetAlarm", &a.Token, &ns
-	case brain.Tell:
-		w.What, w.To, w.Payload = "WritePeer", &a.To, hex.EncodeToString(a.Data)
 	case brain.Verdict:
 		if !a.Log {
 			return nil
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -174,6 +174,4 @@
 	Nonce      *uint64 `json:"nonce,omitempty"`
 	Delay      *int64  `json:"delay_ns,omitempty"`
 	Words      string  `json:"words,omitempty"`
-	To         *int    `json:"to,omitempty"`
-	Payload    string  `json:"payload,omitempty"`
 }
