--- a/brain/brain.go
+++ b/brain/brain.go
@@ -729,7 +729,7 @@
 		return nil
 	}
 	if !k.set.Pools && (r != WaitRoom && (r != WaitDead || k.now < d.second(c.Dest).until) ||
-		k.fade(k.press, k.pressAt) > altPressure || k.fade(d.lat, d.latAt) > altPressure) {
+		d.size > 0 && (k.fade(k.press, k.pressAt) > altPressure || k.fade(d.lat, d.latAt) > altPressure)) {
 		return nil // a try round a silent way that failed speaks for all
 	}
 	var best *far
