First shares of a cold budget are drawn, and the least rate is one for all senders together

Cause: a share under one set-up started at one at every controller, and half a set-up a second each is more than a cold processor takes from a hundred. Test of a hundred controllers.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -37,6 +38,7 @@
 	latFade      = 3 * time.Second        // smoothed times halve when unheard of for so long
 	rateSpan     = 10 * time.Second       // span of measured demand
 	coldSafety   = 0.8                    // share used of the budget of a cold processor
+	coldLeast    = 12.0                   // set-ups a second to a cold processor in any case, by all senders
 	rest         = 500 * time.Millisecond // between single set-ups at a window of a half
 	gapMost      = 4 * time.Second        // longest turn of a busy number
 	hastyShare   = 0.1                    // share of callers leaving early that shortens waits
@@ -163,12 +165,10 @@
 }
 
 type busy struct {
-	count       int
+	count, pend int
 	last, until time.Duration
-	pend        int
 }
 
-// Controller decides for one exchange.
 type Controller struct {
 	set             Settings
 	now, born       time.Duration
@@ -204,6 +204,7 @@
 	wakeAt          time.Duration
 	token           uint64
 	verdicts        map[Reason]int
+	random          *rand.Rand // from the seed
 	acts            []Action
 }
 
@@ -211,7 +212,7 @@
 func New(s Settings) *Controller {
 	k := &Controller{set: s, cells: map[int]*far{}, hosts: map[uint32]int{}, calls: map[string]*call{},
 		numbers: map[uint64]*busy{}, verdicts: map[Reason]int{},
-		tried: map[uint64]time.Duration{}}
+		tried: map[uint64]time.Duration{}, random: rand.New(rand.NewPCG(s.Seed, uint64(s.Me)))}
 	aim := time.Hour
 	for _, c := range s.Classes {
 		aim = min(aim, c.Aim)
@@ -302,7 +303,7 @@
 				continue
 			}
 			f.lat, f.blocked, f.eps, f.silent, f.win = 0, 0, 0, 0, k.winStart
-			f.tokens, f.tokensAt, f.normal = 1, k.now, f.demand.rate(k.now, k.born)
+			f.tokens, f.tokensAt, f.normal = k.random.Float64(), k.now, f.demand.rate(k.now, k.born)
 		}
 		delete(k.hosts, f.id) // the table holds one processor a number
 		k.hosts[x.ID] = x.Cell
@@ -696,18 +697,18 @@
 	return "", ""
 }
 
-// cold tells whether the processor is within its warm-up, and refills the
-// share of its budget that this controller may use: the multiple of the least
-// capacity it may have by now, on what it is sent in normal times.
+// cold tells whether the processor is within its warm-up, and refills this controller's share
+// of its budget: the multiple of the least capacity it may have, on what it is sent in normal
+// times. First shares are drawn, since a share under one set-up may not start at one everywhere.
 func (k *Controller) cold(f *far) bool {
 	age := k.now - f.since
 	if f.since <= 0 || age >= k.set.ColdFor || k.set.ColdFor <= 0 {
 		return false
 	}
 	have := k.set.ColdFrom + (1-k.set.ColdFrom)*float64(age)/float64(k.set.ColdFor)
-	rate := coldSafety * min(k.set.OverloadFactor*have, 1/coldSafety) * max(f.normal, 0.5)
-	burst := max(1, rate*k.set.OverloadFor.Seconds()/4)
-	f.tokens = min(f.tokens+rate*(k.now-f.tokensAt).Seconds(), burst)
+	rate := coldSafety * min(k.set.OverloadFactor*have, 1/coldSafety) *
+		max(f.normal, min(coldLeast/float64(max(k.set.Controllers, 1)), 0.5))
+	f.tokens = min(f.tokens+rate*(k.now-f.tokensAt).Seconds(), max(1, rate*k.set.OverloadFor.Seconds()/4))
 	f.tokensAt = k.now
 	return true
 }
@@ -783,9 +784,8 @@
 	k.acts = append(k.acts, Send{c.ID, f.id, k.timeout(c, alt)})
 }
 
-// timeout is the time left, or less where answers get lost while processors are quick, so that
-// a further try can stand within the aim. It guards against losses of any cause; it harms
-// where the slow tail of good answers is long, by set-ups done twice.
+// timeout is the time left, or less where answers get lost, not slow, so that a further try can
+// stand within the aim. It guards against losses of any cause; it harms by set-ups done twice.
 func (k *Controller) timeout(c *call, alt bool) time.Duration {
 	left, soon := c.due-k.now, k.target()
 	if alt {
--- a/brain/rules_test.go
+++ b/brain/rules_test.go
@@ -458,3 +458,61 @@
 		}
 	}
 }
+
+// Dozens of controllers that each ask little of a cold exchange: their first set-ups do not come
+// all at once, the sum stays under the budget, and none is starved for the warm-up.
+func TestColdExchangeAmongManyControllers(t *testing.T) {
+	const n = 100
+	var sent []time.Duration
+	starved := 0
+	for me := 1; me <= n; me++ {
+		set := settings()
+		set.Self, set.Me, set.Controllers = me, me, n
+		r := newRig(t, set, n+1)
+		for i := 0; i < 4; i++ { // one call in five seconds before, as one of many senders
+			c := r.callOut(t, Call{Dest: 0})
+			r.run(50 * ms)
+			r.stands(c, 50*ms)
+			r.ends(c, OK, 0, 60*ms)
+			r.run(5 * time.Second)
+		}
+		began, before := r.now, len(r.sentAt[900])
+		r.handle(Exchanges{Entries: []Exchange{{ID: 900, Cell: 0, Since: r.now}}})
+		for r.now < began+set.ColdFor { // and ten times that after its start
+			r.circuits(900, 20, 20)
+			r.call(Call{Dest: 0})
+			r.run(500 * ms)
+			for _, p := range append([]*seen(nil), r.pending...) {
+				if p.exchange == 900 && !p.stood {
+					r.stands(p, 50*ms)
+					r.ends(p, OK, 0, 60*ms)
+				}
+			}
+		}
+		got := r.sentAt[900][before:]
+		if len(got) == 0 {
+			starved++
+		}
+		for _, at := range got {
+			if at-began < set.ColdFor { // it is warm after that
+				sent = append(sent, at-began)
+			}
+		}
+	}
+	slices.Sort(sent)
+	// before its start it took n/5 set-ups a second, so it can do that much at least
+	budget := 0.3 * 2 * 2 * n / 5
+	for i := range sent {
+		j := i
+		for j < len(sent) && sent[j] < sent[i]+2*time.Second {
+			j++
+		}
+		have := 0.3 + 0.7*sent[i].Seconds()/12
+		if float64(j-i) > budget/0.3*have*1.5 {
+			t.Fatalf("%d set-ups within two seconds from %v, budget %.0f", j-i, sent[i], budget/0.3*have)
+		}
+	}
+	if starved > n/20 {
+		t.Fatalf("%d of %d controllers sent nothing during the warm-up", starved, n)
+	}
+}
