--- a/brain/design_test.go
+++ b/brain/design_test.go
@@ -628,3 +628,63 @@
 		t.Fatal("an own call to a destination without a group goes over a tandem at once")
 	}
 }
+
+// Odd but harmless input at size moves nothing: a list of more than a hundred exchanges with a
+// group towards one alone, many new start times at once, a late reset, one lost or slow answer.
+func TestOddInputAtSize(t *testing.T) {
+	const n = 120
+	set := settings()
+	set.Controllers = n
+	r := newRig(t, set, n)
+	for id := uint32(102); id < 100+n; id++ {
+		r.circuits(id, 0, 0)
+	}
+	c := r.callOut(t, Call{Dest: 1})
+	r.stands(c, 50*ms)
+	r.ends(c, OK, 0, time.Second)
+	r.handle(Ended{ID: c.id, Attempt: 0, Exchange: 101, Outcome: Reset, After: time.Minute, Final: true})
+	far := r.call(Call{Dest: 50}) // no group, and the one tandem has to be tried at once
+	if !far.out || far.exchange != 101 {
+		t.Fatalf("over %d, want the one exchange that a group leads to", far.exchange)
+	}
+	r.ends(far, Full, TurnedBack, 50*ms)
+	var fresh []Exchange
+	for i := 1; i < n; i++ {
+		fresh = append(fresh, Exchange{ID: uint32(1000 + i), Cell: i, Since: r.now})
+	}
+	r.handle(Exchanges{Entries: fresh})
+	r.run(set.ColdFor)
+	for i := 1; i < n; i++ {
+		r.circuits(uint32(1000+i), 20, 20)
+	}
+	if n := len(r.k.hosts); n > 120 {
+		t.Fatalf("%d exchanges kept", n)
+	}
+	win, own := r.k.cells[1].win, r.k.win
+	slow := r.callOut(t, Call{Dest: 1})
+	r.run(time.Second)
+	r.stands(slow, time.Second)
+	lost := r.callOut(t, Call{Dest: 2})
+	r.ends(lost, TimedOut, 0, time.Second)
+	if r.k.win != own || r.k.cells[2].win != win {
+		t.Fatalf("own window %v, was %v; far window %v, was %v", r.k.win, own, r.k.cells[2].win, win)
+	}
+	r.run(rest)
+	r.callOut(t, Call{Dest: 1})
+	r.callOut(t, Call{Dest: 3})
+}
+
+// A fleet of three: the one tandem is used, and a turn-back does not close it for good.
+func TestFleetOfThree(t *testing.T) {
+	r := newRig(t, settings(), 3)
+	r.circuits(101, 0, 20)
+	c := r.callOut(t, Call{Dest: 1})
+	if c.exchange != 102 {
+		t.Fatalf("over %d, want 102", c.exchange)
+	}
+	r.ends(c, Full, TurnedBack, 50*ms)
+	r.run(turnedSkip)
+	if c := r.callOut(t, Call{Dest: 1}); c.exchange != 102 {
+		t.Fatalf("over %d, want 102 again", c.exchange)
+	}
+}
