--- a/brain/brain.go
+++ b/brain/brain.go
@@ -706,7 +706,7 @@
 		return false
 	}
 	have := k.set.ColdFrom + (1-k.set.ColdFrom)*float64(age)/float64(k.set.ColdFor)
-	rate := coldSafety * min(1.5*have, 1/coldSafety) *
+	rate := coldSafety * min(k.set.OverloadFactor*have, 1/coldSafety) *
 		max(f.normal, min(coldLeast/float64(max(k.set.Controllers, 1)), 0.5))
 	f.tokens = min(f.tokens+rate*(k.now-f.tokensAt).Seconds(), max(1, rate*k.set.OverloadFor.Seconds()/4))
 	f.tokensAt = k.now
