--- a/cmd/dahliaspindle/main.go
+++ b/cmd/dahliaspindle/main.go
@@ -14,6 +14,7 @@
 
 var cli struct {
 	Run       runCmd       `cmd:"" help:"Run one controller in the foreground; SIGTERM lets it answer what it has and leave."`
+	Node      nodeCmd      `cmd:"" help:"Run one controller on the platform, as its variables tell; docs/operators/platform.md."`
 	Check     checkCmd     `cmd:"" help:"Read a controller's or a scenario's file and say every fault with its line."`
 	Schema    schemaCmd    `cmd:"" help:"Print the XSD of the files."`
 	Demo      demoCmd      `cmd:"" help:"Play a scenario on loopback: controllers, stand-ins, troubles; judge it by the five rules."`
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -264,7 +264,7 @@
 // each Add of its caller as the rule to be broken asks for.
 type rogue struct {
 	rule  int
-	links []*transport.Conn
+	links []*transport.Conn[*signal.Message]
 	tx    uint32
 }
 
@@ -274,7 +274,7 @@
 	g.links[to].Send(m.PutInt("Attempt", attempt).PutInt("From", 0).PutInt("Dest", 1).PutSpan("Left", time.Second), time.Hour)
 }
 
-func (g *rogue) take(c *transport.Conn, m *signal.Message) {
+func (g *rogue) take(c *transport.Conn[*signal.Message], m *signal.Message) {
 	no := m.Refuse(signal.NoResources, "refused")
 	switch g.rule {
 	case 1:
@@ -300,17 +300,17 @@
 }
 
 type end struct {
-	message func(*transport.Conn, *signal.Message)
+	message func(*transport.Conn[*signal.Message], *signal.Message)
 }
 
-func (e end) Message(c *transport.Conn, m *signal.Message) {
+func (e end) Message(c *transport.Conn[*signal.Message], m *signal.Message) {
 	if e.message != nil && m.Kind == signal.Request && m.Command == signal.Add {
 		e.message(c, m)
 	}
 }
-func (end) Bad(*transport.Conn, signal.SyntaxError) {}
-func (end) Unsent(*transport.Conn, *signal.Message) {}
-func (end) Closed(*transport.Conn, error)           {}
+func (end) Bad(*transport.Conn[*signal.Message], transport.Skipped)  {}
+func (end) Unsent(*transport.Conn[*signal.Message], *signal.Message) {}
+func (end) Closed(*transport.Conn[*signal.Message], error)           {}
 
 // The same breaches by a controller on connections, tapped as the real one is.
 func TestARogueControllerIsFound(t *testing.T) {
@@ -326,8 +326,8 @@
 					w.Fact("capacity", capture.Capacity{Exchange: 100, Cell: 1, PerS: 3, From: 0.3, Warm: 10 * time.Second, Since: 5})
 				}
 				g := &rogue{rule: rule}
-				var conns []*transport.Conn
-				pair := func(e capture.Ends, near, far end) (*transport.Conn, *transport.Conn) {
+				var conns []*transport.Conn[*signal.Message]
+				pair := func(e capture.Ends, near, far end) (*transport.Conn[*signal.Message], *transport.Conn[*signal.Message]) {
 					ln, err := n.Listen()
 					if err != nil {
 						t.Fatal(err)
@@ -340,8 +340,8 @@
 						t.Fatal(err)
 					}
 					<-got
-					x := transport.Start(a, transport.Options{Tap: w.Open(transport.Key(a, true), e)}, near)
-					y := transport.Start(b, transport.Options{}, far)
+					x := transport.Start(a, transport.Options[*signal.Message]{Reader: signal.Reading(signal.Limits{}), Tap: w.Open(transport.Key(a, true), e)}, near)
+					y := transport.Start(b, transport.Options[*signal.Message]{Reader: signal.Reading(signal.Limits{})}, far)
 					conns = append(conns, x, y)
 					return x, y
 				}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,7 +47,7 @@
 	left    chan struct{} // closed when the core is done after Leave
 
 	mu      sync.Mutex
-	callers map[uint64]*transport.Conn
+	callers map[uint64]*transport.Conn[*signal.Message]
 	full    int // connections turned away
 	links   map[controller.Peer]*keeper
 	back    []controller.Input // set-ups that a connection did not take
@@ -140,7 +140,7 @@
 // New makes a daemon; Serve runs it. flows takes a record of each call and attempt; nil for none.
 func New(set *settings.Controller, log *slog.Logger, w *capture.Writer, n Net, flows flow.Sink) *Daemon {
 	d := &Daemon{set: set, log: log, capture: w, net: n, start: time.Now(), inbox: newInbox(set.Limits.Inbox),
-		left: make(chan struct{}), callers: map[uint64]*transport.Conn{}, links: map[controller.Peer]*keeper{}}
+		left: make(chan struct{}), callers: map[uint64]*transport.Conn[*signal.Message]{}, links: map[controller.Peer]*keeper{}}
 	d.base = time.Duration(d.start.UnixNano())
 	d.core = controller.New(d.now(), setup.Core(d.now(), set, flows))
 	return d
@@ -187,7 +187,7 @@
 	<-d.left
 	// what was said last is written before the connections close
 	d.mu.Lock()
-	conns := make([]*transport.Conn, 0, len(d.callers)+len(d.links))
+	conns := make([]*transport.Conn[*signal.Message], 0, len(d.callers)+len(d.links))
 	for _, c := range d.callers {
 		conns = append(conns, c)
 	}
@@ -261,7 +261,7 @@
 	for _, e := range d.core.Handle(d.now(), in) {
 		switch e.Do {
 		case controller.Say:
-			if c := d.conn(e.Peer); e.Recall != 0 && c != nil && c.Recall(e.Recall) {
+			if c := d.conn(e.Peer); e.Recall != 0 && c != nil && c.Recall(func(m *signal.Message) bool { return m.ID == e.Recall }) {
 				d.back = append(d.back, controller.Input{What: controller.Unsent, Peer: e.Peer, Msg: e.Msg})
 			} else if (c == nil || !c.Send(e.Msg, e.NotAfter)) && e.NotAfter > 0 {
 				d.back = append(d.back, controller.Input{What: controller.Unsent, Peer: e.Peer, Msg: e.Msg})
@@ -298,7 +298,7 @@
 	return left
 }
 
-func (d *Daemon) conn(p controller.Peer) *transport.Conn {
+func (d *Daemon) conn(p controller.Peer) *transport.Conn[*signal.Message] {
 	if p.Role == controller.Caller {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -310,8 +310,8 @@
 	return nil
 }
 
-func (d *Daemon) options(tap *capture.Tap) transport.Options {
-	return transport.Options{Limits: signal.Limits{Line: d.set.Limits.Line, Block: d.set.Limits.Block},
+func (d *Daemon) options(tap *capture.Tap) transport.Options[*signal.Message] {
+	return transport.Options[*signal.Message]{Reader: signal.Reading(signal.Limits{Line: d.set.Limits.Line, Block: d.set.Limits.Block}),
 		Outbox: guard.Outbox{Most: d.set.Limits.Outbox}, Write: d.set.Peers.Write, Grace: d.set.Rules.DrainGrace,
 		Tap: tap, Now: d.now}
 }
@@ -357,7 +357,7 @@
 	up   <-chan struct{} // closed when the core has been told that the connection stands
 }
 
-func (e *edge) Message(c *transport.Conn, m *signal.Message) {
+func (e *edge) Message(c *transport.Conn[*signal.Message], m *signal.Message) {
 	in := controller.Input{What: controller.Command, Peer: e.peer, Msg: m}
 	if e.d.inbox.put(kindOf(in), in) {
 		return
@@ -367,15 +367,15 @@
 	}
 }
 
-func (e *edge) Bad(_ *transport.Conn, s signal.SyntaxError) {
-	e.d.inbox.put(guard.Answer, controller.Input{What: controller.Garbled, Peer: e.peer, Bad: s})
+func (e *edge) Bad(_ *transport.Conn[*signal.Message], s transport.Skipped) {
+	e.d.inbox.put(guard.Answer, controller.Input{What: controller.Garbled, Peer: e.peer, Bad: *s.(*signal.SyntaxError)})
 }
 
-func (e *edge) Unsent(_ *transport.Conn, m *signal.Message) {
+func (e *edge) Unsent(_ *transport.Conn[*signal.Message], m *signal.Message) {
 	e.d.inbox.put(guard.Answer, controller.Input{What: controller.Unsent, Peer: e.peer, Msg: m})
 }
 
-func (e *edge) Closed(c *transport.Conn, why error) {
+func (e *edge) Closed(c *transport.Conn[*signal.Message], why error) {
 	e.d.log.Debug("connection over", "peer", e.peer.Role, "id", e.peer.ID, "why", why)
 	if e.peer.Role == controller.Caller {
 		e.d.mu.Lock()
@@ -394,7 +394,7 @@
 	done   chan struct{}
 
 	mu     sync.Mutex
-	c      *transport.Conn
+	c      *transport.Conn[*signal.Message]
 	fenced bool
 }
 
@@ -432,7 +432,7 @@
 	return k
 }
 
-func (k *keeper) conn() *transport.Conn {
+func (k *keeper) conn() *transport.Conn[*signal.Message] {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.c
--- /dev/null
+++ b/internal/interwork/attempt.go
@@ -0,0 +1,272 @@
+package interwork
+
+import (
+	"log/slog"
+	"slices"
+	"strconv"
+	"time"
+
+	"dahliaspindle/brain"
+	"dahliaspindle/internal/isup"
+	"dahliaspindle/internal/sip"
+	"dahliaspindle/internal/wheel"
+)
+
+// attempt is one set-up at an exchange, until its end or until the call stands.
+type attempt struct {
+	call     *call
+	n        int
+	peer     *peer
+	link     *link // nil while it waits for one
+	sent     time.Duration
+	notAfter time.Duration
+	timer    wheel.Handle
+}
+
+func (c *Core) attempt(x *call, a brain.Send) {
+	p := c.ids[a.Exchange]
+	t := &attempt{call: x, n: x.attempts, peer: p, sent: c.now, notAfter: c.now + a.Timeout}
+	x.attempts++
+	x.try = t
+	c.tries[x.id] = t
+	c.Stats.Attempts++
+	if p == nil || p.State != brain.In {
+		t.peer = &peer{id: a.Exchange, gone: true}
+		c.conclude(t)
+		c.ended(t, brain.Ended{Outcome: brain.NoConnect})
+		return
+	}
+	t.timer = c.timers.Set(t.notAfter, timer{try: t})
+	if l := c.pick(p); l != nil {
+		c.put(t, l)
+		c.keep(p)
+		return
+	}
+	p.waiting = append(p.waiting, t)
+	if !slices.ContainsFunc(p.links, func(l *link) bool { return !l.up }) {
+		c.dial(p)
+	}
+}
+
+func (x *call) invite(n int, within time.Duration) *sip.Message {
+	m := &sip.Message{Method: sip.Invite, URI: "sip:" + x.number + "@net", CallID: x.name, Seq: n + 1, Of: sip.Invite, Body: x.desc}
+	return m.Put("Call-Kind", x.class).Put("Answer-Within", strconv.FormatInt(max(within.Milliseconds(), 1), 10))
+}
+
+// fits tells whether the set-up can be passed on at all.
+func (c *Core) fits(x *call) bool { return len(x.invite(99, time.Hour).Append(nil)) <= sip.Most }
+
+// put sends the set-up on a link.
+func (c *Core) put(t *attempt, l *link) {
+	t.link = l
+	l.open = append(l.open, t)
+	l.used = c.now
+	c.do(Send{l.id, t.call.invite(t.n, t.notAfter-c.now), t.notAfter})
+}
+
+// conclude takes an attempt out of all that holds it.
+func (c *Core) conclude(t *attempt) {
+	c.timers.Stop(t.timer)
+	if t.call.try == t {
+		t.call.try = nil
+	}
+	if c.tries[t.call.id] == t {
+		delete(c.tries, t.call.id)
+	}
+	is := func(o *attempt) bool { return o == t }
+	t.peer.waiting = slices.DeleteFunc(t.peer.waiting, is)
+	if t.link != nil {
+		t.link.open = slices.DeleteFunc(t.link.open, is)
+	}
+}
+
+// withdraw calls an attempt off.
+func (c *Core) withdraw(t *attempt, o brain.Outcome) {
+	l := t.link
+	c.conclude(t)
+	if l == nil {
+		if o == brain.TimedOut {
+			o = brain.NoConnect
+		}
+	} else {
+		c.remember(t.call.id, ending{ghost: t.peer})
+		c.do(Withdraw{l.id, t.call.name, &sip.Message{Method: sip.Cancel, URI: "sip:" + t.call.number + "@net",
+			CallID: t.call.name, Seq: t.n + 1, Of: sip.Cancel}})
+	}
+	c.ended(t, brain.Ended{Outcome: o})
+}
+
+// timedOut is an attempt without an answer in time. Its link is tested before it is used again.
+func (c *Core) timedOut(t *attempt) {
+	c.Stats.TimedOut++
+	l := t.link
+	c.withdraw(t, brain.TimedOut)
+	if l != nil && l.up {
+		l.spent = true
+		c.ping(l)
+	}
+}
+
+func (c *Core) unsent(in Unsent) {
+	l := c.links[in.Link]
+	id, err := strconv.ParseUint(in.Msg.CallID, 16, 64)
+	if t := c.tries[id]; err == nil && t != nil && t.link == l && t.n == in.Msg.Seq-1 {
+		c.conclude(t)
+		c.ended(t, brain.Ended{Outcome: brain.Moot})
+	}
+}
+
+func (c *Core) linkSays(in LinkSays) {
+	l := c.links[in.Link]
+	if l == nil {
+		return
+	}
+	m := in.Msg
+	l.heard, l.peer.heard = c.now, c.now
+	if m.Status != 0 {
+		switch m.Of {
+		case sip.Invite:
+			if m.Status >= 200 {
+				c.final(l, m)
+			}
+		case sip.Options:
+			l.tested, l.spent = 0, false
+		}
+		return
+	}
+	switch m.Method {
+	case sip.Bye:
+		c.do(Send{l.id, &sip.Message{Status: 200, CallID: m.CallID, Seq: m.Seq, Of: sip.Bye}, 1 << 62})
+		c.cleared(l.peer, m)
+	case sip.Notify:
+		c.notify(l.peer, m)
+	case sip.Options:
+		c.do(Send{l.id, &sip.Message{Status: 200, CallID: m.CallID, Seq: m.Seq, Of: sip.Options}, 1 << 62})
+	default:
+		c.Stats.Stray++
+	}
+}
+
+func (c *Core) ack(l *link, m *sip.Message) {
+	c.do(Send{l.id, &sip.Message{Method: sip.Ack, URI: "sip:" + m.CallID + "@net", CallID: m.CallID, Seq: m.Seq, Of: sip.Ack}, 1 << 62})
+}
+
+// outcomes maps the answers to INVITE that say how an attempt ended; any other is a fault.
+var outcomes = map[int]brain.Outcome{503: brain.Full, 480: brain.Moot, 504: brain.Reset, 408: brain.TimedOut}
+
+var notes = map[string]brain.Note{"atb": brain.NoCircuit, "rtb": brain.TurnedBack, "racc": brain.DestProcFull,
+	"acc": brain.ProcFull, "sub": brain.LinesBusy}
+
+// final is a final answer to a set-up.
+func (c *Core) final(l *link, m *sip.Message) {
+	id, err := strconv.ParseUint(m.CallID, 16, 64)
+	if err != nil || len(m.CallID) != 16 {
+		c.Stats.Stray++
+		return
+	}
+	t := c.tries[id]
+	if t == nil || t.link != l || m.Seq != t.n+1 {
+		c.late(l, id, m)
+		return
+	}
+	c.ack(l, m)
+	x := t.call
+	if m.Status >= 300 {
+		e := brain.Ended{Outcome: brain.Failed, Note: notes[m.Get("Fail-Word")], Report: c.state(l.peer, m)}
+		if o, ok := outcomes[m.Status]; ok {
+			e.Outcome = o
+		}
+		if ms, err := strconv.Atoi(m.Get("Proc-Wait")); err == nil && e.Note == brain.ProcFull {
+			e.Wait = time.Duration(max(ms, 0)) * time.Millisecond
+		}
+		if e.Outcome == brain.Reset {
+			c.Stats.Cut++
+		}
+		c.conclude(t)
+		c.ended(t, e)
+		return
+	}
+	c.conclude(t)
+	if c.calls[id] != x { // given up meanwhile
+		c.bye(l, bye{id, x.name, isup.NormalClearing})
+		c.ended(t, brain.Ended{Outcome: brain.Cancelled})
+		return
+	}
+	c.Stats.Answered++
+	c.do(Say{x.from.id, (&isup.Message{Type: isup.Answer, Call: id}).With(isup.Description, m.Body)})
+	c.open--
+	x.from.open--
+	x.from.standing++
+	x.standing, x.stood, x.at, x.desc = true, c.now, l.peer, nil
+	l.peer.calls[id] = x
+	c.feed(brain.Standing{ID: x.name, Attempt: t.n, Exchange: l.peer.id, After: c.now - t.sent})
+}
+
+// late is an answer that nobody waits for: one to a set-up that was given up is ended in order.
+func (c *Core) late(l *link, id uint64, m *sip.Message) {
+	c.Stats.Late++
+	e, known := c.recent[id]
+	if !known || e.ghost != l.peer {
+		c.Stats.Stray++
+		return
+	}
+	c.ack(l, m)
+	if x := c.calls[id]; m.Status < 300 && (x == nil || x.at != l.peer) {
+		c.bye(l, bye{id, m.CallID, isup.NormalClearing})
+	}
+}
+
+// cleared is the release of a call by its exchange.
+func (c *Core) cleared(p *peer, m *sip.Message) {
+	id, err := strconv.ParseUint(m.CallID, 16, 64)
+	if err != nil {
+		return
+	}
+	cause := sip.Cause(m.Get("Reason"))
+	outcome := brain.Reset
+	if cause == isup.NormalClearing {
+		outcome = brain.OK
+	}
+	switch x, t := c.calls[id], c.tries[id]; {
+	case x != nil && x.standing && x.at == p:
+		c.over(x, outcome, cause, false)
+	case t != nil && t.peer == p && t.link != nil:
+		c.conclude(t)
+		c.ended(t, brain.Ended{Outcome: brain.Reset})
+	case x == nil:
+		if e, known := c.recent[id]; !known || e.ghost != nil {
+			c.remember(id, ending{cause: cause})
+		}
+	}
+}
+
+// over ends a call that stood. Its caller is told unless the word came from there.
+func (c *Core) over(x *call, o brain.Outcome, cause byte, told bool) {
+	delete(c.calls, x.id)
+	if x.at != nil {
+		delete(x.at.calls, x.id)
+	}
+	said := told
+	x.from.standing--
+	x.from.since = c.now
+	if !told && !x.from.gone {
+		said = true
+		c.do(Say{x.from.id, release(x.id, cause)})
+	}
+	if !said {
+		c.log(slog.LevelInfo, "call over, its caller's connection gone", "call", x.name)
+	}
+	c.remember(x.id, ending{cause: cause, said: said})
+	if x.adopted {
+		return
+	}
+	c.feed(brain.Ended{ID: x.name, Attempt: x.attempts - 1, Exchange: x.at.id, Outcome: o, After: c.now - x.stood, Final: true})
+}
+
+// notify is the state of a group.
+func (c *Core) notify(p *peer, m *sip.Message) {
+	c.log(slog.LevelInfo, "notify", "exchange", p.Name, "uri", m.URI, "head", m.Head, "body", string(m.Body))
+}
+
+// state is what an answer tells of the group towards its exchange.
+func (c *Core) state(p *peer, m *sip.Message) brain.Report { return brain.Report{} }
--- /dev/null
+++ b/internal/interwork/caller.go
@@ -0,0 +1,349 @@
+package interwork
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"dahliaspindle/brain"
+	"dahliaspindle/internal/isup"
+)
+
+// caller is a caller's connection.
+type caller struct {
+	id       Conn
+	open     int // set-ups not answered
+	standing int // calls that were set up or adopted here
+	said     bool
+	since    time.Duration // of the last word, or of the connection
+	gone     bool
+}
+
+type call struct {
+	id       uint64
+	name     string // of the Call-ID and in the module
+	from     *caller
+	class    string
+	number   string
+	desc     []byte
+	attempts int
+	try      *attempt // out
+	at       *peer    // where it stands
+	standing bool
+	adopted  bool
+	stood    time.Duration
+}
+
+func (c *Core) callerUp(id Conn) {
+	k := &caller{id: id, since: c.now}
+	c.callers[id] = k
+	c.order = append(c.order, k)
+	if c.cfg.Conns > 0 && len(c.callers) > c.cfg.Conns {
+		c.evict(k)
+	}
+}
+
+// evict makes room: one that has said nothing goes first, then one without a call, the longest
+// quiet first; then the new one.
+func (c *Core) evict(fresh *caller) {
+	var victim *caller
+	for _, k := range c.order {
+		if k.gone || k.open > 0 || k == fresh || k.standing > 0 {
+			continue
+		}
+		if victim == nil || victim.said && !k.said || victim.said == k.said && k.since < victim.since {
+			victim = k
+		}
+	}
+	if victim == nil {
+		victim = fresh
+	}
+	c.shut(victim, "too many connections")
+}
+
+func (c *Core) shut(k *caller, why string) {
+	if k.gone {
+		return
+	}
+	c.Stats.ConnsShut++
+	c.do(Shut{k.id, why})
+	c.callerDown(k.id)
+}
+
+// callerDown forgets a connection. Nobody is left there to be answered; what stands goes on.
+func (c *Core) callerDown(id Conn) {
+	k := c.callers[id]
+	if k == nil {
+		return
+	}
+	delete(c.callers, id)
+	k.gone = true
+	if k.open == 0 {
+		return
+	}
+	var left []uint64
+	for _, x := range c.calls {
+		if x.from == k && !x.standing {
+			left = append(left, x.id)
+		}
+	}
+	slices.Sort(left)
+	for _, id := range left {
+		c.givenUp(c.calls[id])
+	}
+}
+
+// sweepCallers closes connections that say nothing.
+func (c *Core) sweepCallers() {
+	rest := c.order[:0]
+	for _, k := range c.order {
+		switch {
+		case k.gone:
+			continue
+		case k.open > 0 || k.standing > 0:
+		case !k.said && c.now-k.since > mute:
+			c.shut(k, "nothing said")
+			continue
+		case c.now-k.since > idle:
+			c.shut(k, "idle")
+			continue
+		}
+		rest = append(rest, k)
+	}
+	clear(c.order[len(rest):])
+	c.order = rest
+}
+
+func (c *Core) callerSays(in CallerSays) {
+	k := c.callers[in.Conn]
+	if k == nil {
+		return
+	}
+	k.said, k.since = true, c.now
+	switch in.Msg.Type {
+	case isup.SetUp:
+		c.setUp(k, in)
+	case isup.Release:
+		c.released(k, in.Msg)
+	case isup.Test:
+		c.do(Say{k.id, (&isup.Message{Type: isup.Tested, Call: in.Msg.Call}).With(isup.Cause, []byte{1})})
+	case isup.Progress, isup.Released, isup.Tested:
+	default:
+		c.Stats.Invalid++
+		c.shut(k, fmt.Sprintf("message of type %d", in.Msg.Type))
+	}
+}
+
+func release(id uint64, cause byte) *isup.Message {
+	return (&isup.Message{Type: isup.Release, Call: id}).With(isup.Cause, []byte{cause})
+}
+
+// request is a set-up that was read.
+type request struct {
+	brain.Call
+	class, number string
+	desc          []byte
+	at            string
+}
+
+// read takes a set-up apart. The error names what is wrong with it.
+func (c *Core) read(m *isup.Message) (r request, err error) {
+	text := func(code byte) string {
+		v, _ := m.Get(code)
+		return string(v)
+	}
+	class, ok := c.classes[text(isup.Class)]
+	if !ok {
+		return r, fmt.Errorf("unknown class %.40q", text(isup.Class))
+	}
+	r.class, r.Class = text(isup.Class), class
+	ms, err := strconv.ParseUint(text(isup.Patience), 10, 22)
+	if err != nil {
+		return r, fmt.Errorf("patience: %w", err)
+	}
+	r.Left = time.Duration(ms) * time.Millisecond
+	r.number = text(isup.Number)
+	if r.Number, err = strconv.ParseUint(r.number, 16, 64); err != nil || len(r.number) != 16 {
+		return r, fmt.Errorf("number %.40q", r.number)
+	}
+	r.Numbered = true
+	switch v := text(isup.Retry); v {
+	case "1":
+		r.Repeat = true
+	case "", "0":
+	default:
+		return r, fmt.Errorf("retry %.40q", v)
+	}
+	r.desc, ok = m.Get(isup.Description)
+	if !ok {
+		return r, fmt.Errorf("no description")
+	}
+	return r, c.figures(&r, text(isup.Figures))
+}
+
+func (c *Core) figures(r *request, text string) error {
+	r.Through = -1
+	var dest, width, via bool
+	for part := range strings.SplitSeq(text, ";") {
+		name, value, ok := strings.Cut(part, ":")
+		if !ok {
+			return fmt.Errorf("figures %.80q", text)
+		}
+		if name == "at" {
+			r.at = value
+			continue
+		}
+		n, err := strconv.ParseInt(value, 10, 32)
+		if err != nil {
+			return fmt.Errorf("figure %.20q: %w", name, err)
+		}
+		switch name {
+		case "dest":
+			dest, r.Dest = true, int(n)
+		case "width":
+			width, r.Width = true, int(n)
+		case "via":
+			via, r.Through = true, int(n)
+		case "transit":
+			r.Transit = n == 1
+		case "again":
+			r.Again = n == 1
+		}
+	}
+	switch {
+	case !dest || !c.cells[r.Dest] || r.Dest == c.cfg.Settings.Self && !c.cfg.Settings.Pools:
+		return fmt.Errorf("no such destination in %.80q", text)
+	case !width || r.Width < 1 || r.Width > c.widest:
+		return fmt.Errorf("width out of range in %.80q", text)
+	case r.Through < -1 || r.Transit && !via:
+		return fmt.Errorf("via out of range in %.80q", text)
+	}
+	return nil
+}
+
+func (c *Core) setUp(k *caller, in CallerSays) {
+	id := in.Msg.Call
+	have := c.calls[id]
+	r, err := c.read(in.Msg)
+	switch {
+	case err == nil && r.at != "":
+		c.adopt(k, have, id, r)
+		return
+	case have != nil && have.from == k:
+		// a word about it would be taken for the answer to the first
+		c.Stats.Invalid++
+		c.shut(k, "two set-ups under one id")
+		return
+	case have != nil:
+		c.Stats.Invalid++
+		c.do(Say{k.id, release(id, isup.Congestion)})
+		return
+	case err != nil:
+		c.Stats.Invalid++
+		c.do(Say{k.id, release(id, isup.InvalidContents)})
+		return
+	case c.closed, k.open >= c.cfg.PerConn, len(c.calls) >= c.cfg.Calls:
+		c.Stats.Refused++
+		c.do(Say{k.id, release(id, isup.Congestion)})
+		return
+	}
+	x := &call{id: id, name: fmt.Sprintf("%016x", id), from: k, class: r.class, number: r.number, desc: r.desc}
+	if !c.fits(x) {
+		c.Stats.Invalid++
+		c.do(Say{k.id, release(id, isup.InvalidContents)})
+		return
+	}
+	c.Stats.Calls++
+	if r.Repeat {
+		c.Stats.Again++
+	}
+	c.calls[id] = x
+	c.open++
+	k.open++
+	r.ID = x.name
+	r.Left -= max(c.now-in.At, 0)
+	c.feed(r.Call)
+}
+
+// adopt takes over a call that stands already, for which no answer is owed.
+func (c *Core) adopt(k *caller, have *call, id uint64, r request) {
+	if have != nil {
+		if have.standing && have.from != k {
+			have.from.standing--
+			have.from = k
+			k.standing++
+		}
+		return
+	}
+	if e, ended := c.recent[id]; ended && e.ghost == nil {
+		c.do(Say{k.id, release(id, e.cause)})
+		return
+	}
+	p := c.names[r.at]
+	if p == nil {
+		c.do(Say{k.id, release(id, isup.TemporaryFailure)})
+		return
+	}
+	if len(c.calls) >= c.cfg.Calls {
+		return
+	}
+	c.Stats.Adopted++
+	x := &call{id: id, name: fmt.Sprintf("%016x", id), from: k, class: r.class, number: r.number,
+		at: p, standing: true, adopted: true, stood: c.now}
+	c.calls[id] = x
+	k.standing++
+	p.calls[id] = x
+}
+
+// released is a caller's word that a set-up is given up or that a call is over.
+func (c *Core) released(k *caller, m *isup.Message) {
+	x := c.calls[m.Call]
+	if x == nil {
+		return
+	}
+	if x.standing {
+		c.hangUp(x.at, x.id, x.name, isup.NormalClearing)
+		c.over(x, brain.Cancelled, isup.NormalClearing, true)
+		c.do(Say{k.id, &isup.Message{Type: isup.Released, Call: m.Call}})
+		return
+	}
+	if x.from == k {
+		c.givenUp(x)
+	}
+}
+
+// givenUp is a call whose caller stopped waiting: no answer is owed.
+func (c *Core) givenUp(x *call) {
+	c.Stats.Gone++
+	c.closeOpen(x)
+	c.feed(brain.CallGone{ID: x.name})
+	if x.try != nil { // where the module may not cancel
+		c.withdraw(x.try, brain.Cancelled)
+	}
+	c.forget(x)
+}
+
+// closeOpen takes a call out of those that are owed an answer.
+func (c *Core) closeOpen(x *call) {
+	c.open--
+	x.from.open--
+	x.from.since = c.now
+	delete(c.calls, x.id)
+}
+
+func (c *Core) forget(x *call) {
+	if c.calls[x.id] == x {
+		delete(c.calls, x.id)
+	}
+}
+
+// answer gives the final answer to an open set-up.
+func (c *Core) answer(x *call, m *isup.Message) {
+	c.closeOpen(x)
+	if x.try != nil {
+		c.withdraw(x.try, brain.TimedOut) // before the answer is said: nothing is sent after it
+	}
+	c.do(Say{x.from.id, m})
+}
--- /dev/null
+++ b/internal/interwork/interwork.go
@@ -0,0 +1,339 @@
+// Package interwork is the core of a controller on the platform: callers' binary messages on one
+// side, SIP to the exchanges on the other, as ISUP-SIP interworking is called in the field. It
+// feeds the module and carries out what it decides, and decides nothing about a call itself.
+// It has no socket, goroutine, file or clock: inputs in, effects out, the time handed in.
+package interwork
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"dahliaspindle/brain"
+	"dahliaspindle/internal/guard"
+	"dahliaspindle/internal/isup"
+	"dahliaspindle/internal/policy"
+	"dahliaspindle/internal/sip"
+	"dahliaspindle/internal/srvlist"
+	"dahliaspindle/internal/wheel"
+)
+
+// Conn numbers a caller's connection, Link one to an exchange. Numbers are not used again.
+type (
+	Conn uint64
+	Link uint64
+)
+
+// Input is what happens to the core.
+type Input interface{ input() }
+
+type (
+	// CallerUp is a caller's connection that was accepted.
+	CallerUp struct{ Conn Conn }
+	// CallerSays is a message of a caller; At is when its last byte was read.
+	CallerSays struct {
+		Conn Conn
+		At   time.Duration
+		Msg  *isup.Message
+	}
+	// CallerDown is the end of a caller's connection.
+	CallerDown struct{ Conn Conn }
+	// LinkUp is a connection to an exchange that was asked for and stands.
+	LinkUp struct{ Link Link }
+	// LinkSays is a message of an exchange.
+	LinkSays struct {
+		Link Link
+		Msg  *sip.Message
+	}
+	// Unsent is a set-up that did not leave and won't.
+	Unsent struct {
+		Link Link
+		Msg  *sip.Message
+	}
+	// LinkDown is the end of a connection to an exchange, or of the try to make one.
+	LinkDown struct {
+		Link    Link
+		Refused bool // nothing listens there
+	}
+	// Listed are changes to the exchange list.
+	Listed struct {
+		Complete bool
+		Changes  []srvlist.Entry
+	}
+	// Leave asks the controller to answer what it has and go.
+	Leave struct{}
+	// Tick is the passing of time.
+	Tick struct{}
+)
+
+func (CallerUp) input()   {}
+func (CallerSays) input() {}
+func (CallerDown) input() {}
+func (LinkUp) input()     {}
+func (LinkSays) input()   {}
+func (Unsent) input()     {}
+func (LinkDown) input()   {}
+func (Listed) input()     {}
+func (Leave) input()      {}
+func (Tick) input()       {}
+
+// Effect is what the core asks for. Effects are carried out in their order.
+type Effect interface{ effect() }
+
+type (
+	// Say sends a message to a caller.
+	Say struct {
+		Conn Conn
+		Msg  *isup.Message
+	}
+	// Shut closes a caller's connection once what was said on it is written.
+	Shut struct {
+		Conn Conn
+		Why  string
+	}
+	// Dial opens a connection to an exchange.
+	Dial struct {
+		Link   Link
+		Addr   string
+		Within time.Duration
+	}
+	// Send sends a message to an exchange; a set-up that can't leave before NotAfter comes back Unsent.
+	Send struct {
+		Link     Link
+		Msg      *sip.Message
+		NotAfter time.Duration
+	}
+	// Withdraw takes the set-up of a Call-ID back, with a CANCEL if it has left.
+	Withdraw struct {
+		Link   Link
+		CallID string
+		Cancel *sip.Message
+	}
+	// Fence holds back set-ups that have not left (on a link to an exchange that is draining).
+	Fence struct {
+		Link Link
+		Shut bool
+	}
+	// Drop closes a connection to an exchange.
+	Drop struct {
+		Link Link
+		Why  string
+	}
+	// Close closes the listener.
+	Close struct{}
+	// Left says that nothing is owed any more.
+	Left struct{}
+	// Log is a line for the log.
+	Log struct {
+		Level slog.Level
+		Text  string
+		Args  []any
+	}
+)
+
+func (Say) effect()      {}
+func (Shut) effect()     {}
+func (Dial) effect()     {}
+func (Send) effect()     {}
+func (Withdraw) effect() {}
+func (Fence) effect()    {}
+func (Drop) effect()     {}
+func (Close) effect()    {}
+func (Left) effect()     {}
+func (Log) effect()      {}
+
+// Config is what a core starts with.
+type Config struct {
+	Module   policy.Module
+	Settings brain.Settings
+	Connect  time.Duration // a connection that is not up by then counts as not made
+	Epoch    int64         // Unix nanoseconds at time 0 of the clock
+	Links    int           // connections to one exchange, at the most
+	Conns    int           // callers' connections, at the most
+	PerConn  int           // set-ups open on one of them, at the most
+	Calls    int           // calls open and standing, at the most
+}
+
+// Times of the edge. Nothing here touches a call that the module has.
+const (
+	houseEvery  = 50 * time.Millisecond
+	mute        = 2500 * time.Millisecond // a caller's connection that has said nothing
+	idle        = 12 * time.Second        // one without a call
+	quiet       = 250 * time.Millisecond  // a link with set-ups out that says nothing is tested
+	quietStood  = time.Second             // one to an exchange with standing calls
+	testWithin  = 600 * time.Millisecond  // a test that is not answered by then ends the link
+	silentFor   = 4 * time.Second         // an exchange that nothing is heard of has no calls any more
+	refusedFor  = 600 * time.Millisecond  // the same, if it refuses connections
+	recentFor   = 20 * time.Second        // ended calls are remembered
+	recentMost  = 1 << 14
+	leaveTaking = 750 * time.Millisecond // calls are taken after Leave
+	spare       = 2                      // idle connections kept to an exchange
+	retryLeast  = 100 * time.Millisecond // between tries to reach an exchange
+	retryMost   = time.Second
+)
+
+// Stats count what the core did. Those of a kind that is shed have their own.
+type Stats struct {
+	Calls, Answered, Refused, Failed, Gone, Invalid, Again, Adopted    int
+	Attempts, Resets, TimedOut, NoConnect, Late, Stray, Cut, Forgotten int
+	Tests, TestsLost, ConnsShut                                        int
+}
+
+type timer struct {
+	try   *attempt
+	token uint64
+	house bool
+}
+
+// Core is one controller. It is not safe for concurrent use.
+type Core struct {
+	cfg     Config
+	classes map[string]int
+	widest  int
+	now     time.Duration
+	timers  *wheel.Wheel[timer]
+	out     []Effect
+	feedQ   []brain.Event
+	feeding bool
+	random  *rand.Rand // jitter of tries to reach an exchange
+	retry   guard.Retry
+
+	callers map[Conn]*caller
+	order   []*caller // by age
+	calls   map[uint64]*call
+	open    int                 // not answered
+	tries   map[uint64]*attempt // out
+	cells   map[int]bool
+
+	peers    []*peer // by number
+	names    map[string]*peer
+	ids      map[uint32]*peer
+	lastID   uint32
+	links    map[Link]*link
+	lastLink Link
+
+	recent  map[uint64]ending
+	recents []uint64 // oldest first
+
+	leaving      bool
+	leaveAt      time.Duration
+	closed, left bool
+	Stats        Stats
+}
+
+// ending is how a call ended of late.
+type ending struct {
+	at    time.Duration
+	cause byte
+	said  bool  // its caller was told
+	ghost *peer // where a set-up was given up that may still be answered
+}
+
+// New starts a core.
+func New(cfg Config, now time.Duration) *Core {
+	c := &Core{cfg: cfg, classes: map[string]int{}, now: now, timers: wheel.New[timer](now), callers: map[Conn]*caller{},
+		calls: map[uint64]*call{}, tries: map[uint64]*attempt{}, cells: map[int]bool{}, names: map[string]*peer{}, ids: map[uint32]*peer{},
+		links: map[Link]*link{}, recent: map[uint64]ending{},
+		random: rand.New(rand.NewPCG(cfg.Settings.Seed, 0x1e7))}
+	c.retry = guard.Retry{Least: retryLeast, Most: retryMost, Random: c.random}
+	for i, cl := range cfg.Settings.Classes {
+		c.classes[cl.Name] = i
+		c.widest = max(c.widest, cl.Width)
+	}
+	c.timers.Set(now+houseEvery, timer{house: true})
+	return c
+}
+
+// Next is when the core wants a Tick.
+func (c *Core) Next() time.Duration {
+	at, _ := c.timers.Next() // the house timer is always set
+	return at
+}
+
+// Handle takes one input and returns what to do about it.
+func (c *Core) Handle(now time.Duration, in Input) []Effect {
+	c.now, c.out = max(now, c.now), nil
+	c.timers.Advance(c.now, c.fire)
+	switch in := in.(type) {
+	case CallerUp:
+		c.callerUp(in.Conn)
+	case CallerSays:
+		c.callerSays(in)
+	case CallerDown:
+		c.callerDown(in.Conn)
+	case LinkUp:
+		c.linkUp(in.Link)
+	case LinkSays:
+		c.linkSays(in)
+	case Unsent:
+		c.unsent(in)
+	case LinkDown:
+		c.linkDown(in)
+	case Listed:
+		c.listed(in)
+	case Leave:
+		if !c.leaving {
+			c.leaving, c.leaveAt = true, c.now
+		}
+	}
+	return c.out
+}
+
+func (c *Core) fire(t timer) {
+	switch {
+	case t.house:
+		c.house()
+		c.timers.Set(c.now+houseEvery, timer{house: true})
+	case t.try != nil:
+		c.timedOut(t.try)
+	default:
+		c.feed(brain.Alarm{Token: t.token})
+	}
+}
+
+func (c *Core) do(e Effect) { c.out = append(c.out, e) }
+
+func (c *Core) log(l slog.Level, text string, args ...any) { c.do(Log{l, text, args}) }
+
+// house does what is due now and then: quiet links, callers without a word, what is remembered,
+// the way out.
+func (c *Core) house() {
+	for _, p := range c.peers {
+		c.keep(p)
+	}
+	c.peers = compact(c.peers)
+	c.sweepCallers()
+	n := 0
+	for n < len(c.recents) && (c.now-c.recent[c.recents[n]].at > recentFor || len(c.recents)-n > recentMost) {
+		delete(c.recent, c.recents[n])
+		n++
+	}
+	if c.recents = c.recents[n:]; len(c.recents) == 0 {
+		c.recents = nil
+	}
+	if !c.leaving || c.left || c.now-c.leaveAt < leaveTaking {
+		return
+	}
+	if !c.closed {
+		c.closed = true
+		c.do(Close{})
+	}
+	for _, k := range c.order {
+		if k.open == 0 {
+			c.shut(k, "leaving")
+		}
+	}
+	if c.open == 0 {
+		c.left = true
+		c.do(Left{})
+	}
+}
+
+// remember keeps the end of a call.
+func (c *Core) remember(id uint64, e ending) {
+	if _, there := c.recent[id]; !there {
+		c.recents = append(c.recents, id)
+	}
+	e.at = c.now
+	c.recent[id] = e
+}
--- /dev/null
+++ b/internal/interwork/module.go
@@ -0,0 +1,83 @@
+package interwork
+
+import (
+	"log/slog"
+	"strconv"
+	"time"
+
+	"dahliaspindle/brain"
+	"dahliaspindle/internal/isup"
+)
+
+// feed hands an event to the module and carries out what it asks for. Events that its own actions
+// bring about wait their turn.
+func (c *Core) feed(e brain.Event) {
+	c.feedQ = append(c.feedQ, e)
+	if c.feeding {
+		return
+	}
+	c.feeding = true
+	for len(c.feedQ) > 0 {
+		e := c.feedQ[0]
+		c.feedQ = c.feedQ[1:]
+		for _, a := range c.cfg.Module.Handle(c.now, e) {
+			c.act(a)
+		}
+	}
+	c.feedQ, c.feeding = nil, false
+}
+
+func (c *Core) act(a brain.Action) {
+	switch a := a.(type) {
+	case brain.Send:
+		if x := c.openCall(a.ID); x != nil && x.try == nil {
+			c.attempt(x, a)
+		}
+	case brain.Refuse:
+		if x := c.openCall(a.ID); x != nil {
+			c.Stats.Refused++
+			m := release(x.id, isup.Congestion)
+			if a.Backoff > 0 {
+				m.With(isup.StayAway, strconv.AppendInt(nil, int64((a.Backoff+time.Millisecond-1)/time.Millisecond), 10))
+			}
+			c.answer(x, m)
+		}
+	case brain.GiveUp:
+		if x := c.openCall(a.ID); x != nil {
+			c.Stats.Failed++
+			c.answer(x, release(x.id, isup.TemporaryFailure))
+		}
+	case brain.Cancel:
+		if id, err := strconv.ParseUint(a.ID, 16, 64); err == nil {
+			if t := c.tries[id]; t != nil && t.n == a.Attempt {
+				c.withdraw(t, brain.Cancelled)
+			}
+		}
+	case brain.Wake:
+		c.timers.Set(c.now+a.After, timer{token: a.Token})
+	case brain.Verdict:
+		if a.Log {
+			c.log(slog.LevelInfo, "verdict", "call", a.ID, "reason", a.Reason, "scope", a.Scope, "cell", a.Cell, "nth", a.Nth)
+		}
+	}
+}
+
+// openCall is a call that is owed an answer.
+func (c *Core) openCall(name string) *call {
+	id, err := strconv.ParseUint(name, 16, 64)
+	if err != nil {
+		return nil
+	}
+	if x := c.calls[id]; x != nil && !x.standing {
+		return x
+	}
+	return nil
+}
+
+// ended tells the module of the end of an attempt.
+func (c *Core) ended(t *attempt, e brain.Ended) {
+	x := t.call
+	e.ID, e.Attempt, e.Exchange, e.After = x.name, t.n, t.peer.id, c.now-t.sent
+	e.Final = c.calls[x.id] != x || x.standing
+	c.feed(e)
+}
--- /dev/null
+++ b/internal/interwork/peer.go
@@ -0,0 +1,353 @@
+package interwork
+
+import (
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"dahliaspindle/brain"
+	"dahliaspindle/internal/isup"
+	"dahliaspindle/internal/sip"
+	"dahliaspindle/internal/srvlist"
+)
+
+// peer is an exchange of the list, with the connections to it.
+type peer struct {
+	srvlist.Entry
+	id      uint32 // in the module
+	links   []*link
+	waiting []*attempt // for a link
+	calls   map[uint64]*call
+	byes    []bye // to be said once a link is up
+	gone    bool
+
+	heard   time.Duration // last sign of life
+	fails   int           // tries to connect in a row that came to nothing
+	refused time.Duration // since when it refuses connections, 0 if it does not
+	retryAt time.Duration
+}
+
+type bye struct {
+	id    uint64
+	name  string
+	cause byte
+}
+
+// byesMost bounds what is kept to be said to an exchange that can't be reached.
+const byesMost = 4096
+
+// link is a connection to an exchange.
+type link struct {
+	id     Link
+	peer   *peer
+	up     bool
+	open   []*attempt
+	spent  bool          // no new set-ups until a test has passed
+	heard  time.Duration // last message, or when it came up
+	tested time.Duration // when a test went out that is not answered, 0 if none is
+	used   time.Duration
+	dialed time.Duration
+}
+
+func compact(peers []*peer) []*peer {
+	return slices.DeleteFunc(peers, func(p *peer) bool { return p.gone })
+}
+
+// since maps the start of an exchange to the clock: 0 is long ago.
+func (c *Core) since(born int64) time.Duration {
+	if born == 0 {
+		return 0
+	}
+	return max(time.Duration(born*int64(time.Millisecond)-c.cfg.Epoch), 0)
+}
+
+func (c *Core) listed(in Listed) {
+	var rows []brain.Exchange
+	for _, e := range in.Changes {
+		p := c.names[e.Name]
+		if p == nil {
+			if e.State == brain.Out {
+				continue
+			}
+			c.lastID++
+			p = &peer{Entry: e, id: c.lastID, calls: map[uint64]*call{}, heard: c.now}
+			c.names[e.Name], c.ids[p.id] = p, p
+			c.peers = append(c.peers, p)
+			c.cells[e.Cell] = true
+		}
+		was := p.Entry
+		p.Entry = e
+		c.log(slog.LevelInfo, "exchange", "name", e.Name, "cell", e.Cell, "state", e.State, "born", e.Born, "addr", e.Addr)
+		rows = append(rows, brain.Exchange{ID: p.id, Cell: e.Cell, State: e.State, Since: c.since(e.Born)})
+		c.moved(p, was)
+	}
+	c.feed(brain.Exchanges{Complete: in.Complete, Entries: rows})
+	for _, e := range in.Changes { // once the module knows
+		if p := c.names[e.Name]; p != nil && e.State == brain.Out {
+			c.remove(p)
+		} else if p != nil {
+			c.keep(p)
+		}
+	}
+}
+
+// moved follows what the list says of an exchange that is known: its links, its calls.
+func (c *Core) moved(p *peer, was srvlist.Entry) {
+	if p.Born != was.Born || p.Addr != was.Addr {
+		// another process: the calls of the one before are over
+		c.callsOver(p, c.since(p.Born), "started again")
+		for _, l := range slices.Clone(p.links) {
+			if l.dialed < c.since(p.Born) || p.Addr != was.Addr {
+				c.drop(l, "of before the exchange's start")
+			}
+		}
+		p.fails, p.retryAt, p.refused, p.heard = 0, 0, 0, c.now
+	}
+	if (p.State == brain.In) != (was.State == brain.In) {
+		for _, l := range p.links {
+			c.do(Fence{l.id, p.State != brain.In})
+		}
+	}
+	if p.State == brain.In {
+		return
+	}
+	for _, t := range slices.Clone(p.waiting) { // nothing new goes there
+		c.conclude(t)
+		c.ended(t, brain.Ended{Outcome: brain.Moot})
+	}
+}
+
+func (c *Core) remove(p *peer) {
+	c.callsOver(p, c.now+1, "gone")
+	for _, l := range slices.Clone(p.links) {
+		c.drop(l, "exchange gone")
+	}
+	p.gone = true
+	delete(c.names, p.Name)
+	delete(c.ids, p.id)
+	live := false
+	for _, q := range c.peers {
+		live = live || !q.gone && q.Cell == p.Cell
+	}
+	if !live {
+		delete(c.cells, p.Cell)
+	}
+}
+
+// callsOver ends the calls that stood at an exchange before a time.
+func (c *Core) callsOver(p *peer, before time.Duration, why string) {
+	n := 0
+	for _, id := range slices.Sorted(maps.Keys(p.calls)) {
+		if x := p.calls[id]; x.stood < before {
+			n++
+			c.Stats.Forgotten++
+			c.hangUp(p, x.id, x.name, isup.TemporaryFailure)
+			c.over(x, brain.Reset, isup.TemporaryFailure, false)
+		}
+	}
+	if n > 0 {
+		c.log(slog.LevelWarn, "calls over", "exchange", p.Name, "why", why, "calls", n)
+	}
+}
+
+// keep sees to the connections to an exchange: enough of them, none that is silent.
+func (c *Core) keep(p *peer) {
+	if p.gone {
+		return
+	}
+	up, busy, dialing := 0, 0, 0
+	for _, l := range slices.Clone(p.links) {
+		if !l.up {
+			dialing++
+			continue
+		}
+		if c.test(l) {
+			continue
+		}
+		up++
+		if len(l.open) > 0 || l.spent {
+			busy++
+		}
+	}
+	switch {
+	case p.refused > 0 && c.now-p.refused > refusedFor && up == 0:
+		c.callsOver(p, c.now+1, "refuses connections")
+	case c.now-p.heard > silentFor && len(p.calls) > 0:
+		c.callsOver(p, c.now+1, "silent")
+	}
+	want := min(busy+spare, c.cfg.Links)
+	if p.State != brain.In {
+		want = min(1, c.cfg.Links)
+	}
+	if p.fails > 0 {
+		want = min(want, up+1)
+		if c.now < p.retryAt {
+			want = up
+		}
+	}
+	for n := up + dialing; n < want; n++ {
+		c.dial(p)
+	}
+	if up > want+spare { // the longest unused goes
+		var l *link
+		for _, k := range p.links {
+			if k.up && len(k.open) == 0 && c.now-k.used > idle && (l == nil || k.used < l.used) {
+				l = k
+			}
+		}
+		if l != nil {
+			c.drop(l, "not needed")
+		}
+	}
+}
+
+// test asks a quiet link with work on it for a sign of life; true if the link was given up.
+func (c *Core) test(l *link) bool {
+	if l.tested > 0 {
+		if c.now-l.tested < testWithin {
+			return false
+		}
+		c.Stats.TestsLost++
+		c.drop(l, "silent")
+		return true
+	}
+	wait := quiet
+	if len(l.open) == 0 && !l.spent {
+		if wait = quietStood; len(l.peer.calls) == 0 {
+			return false
+		}
+	}
+	if c.now-max(l.heard, l.used) >= wait {
+		c.ping(l)
+	}
+	return false
+}
+
+func (c *Core) ping(l *link) {
+	if l.tested > 0 {
+		return
+	}
+	l.tested = c.now
+	c.Stats.Tests++
+	c.do(Send{l.id, &sip.Message{Method: sip.Options, URI: "sip:ping@net", CallID: fmt.Sprintf("%016x", uint64(l.id)), Seq: 1, Of: sip.Options}, 1 << 62})
+}
+
+func (c *Core) dial(p *peer) {
+	c.lastLink++
+	l := &link{id: c.lastLink, peer: p, dialed: c.now}
+	c.links[l.id] = l
+	p.links = append(p.links, l)
+	c.do(Dial{l.id, p.Addr, c.cfg.Connect})
+}
+
+func (c *Core) linkUp(id Link) {
+	l := c.links[id]
+	if l == nil {
+		c.do(Drop{id, "not wanted any more"})
+		return
+	}
+	p := l.peer
+	l.up, l.heard, l.used = true, c.now, c.now
+	p.heard, p.fails, p.refused, p.retryAt = c.now, 0, 0, 0
+	if p.State != brain.In {
+		c.do(Fence{l.id, true})
+	}
+	byes := p.byes
+	p.byes = nil
+	for _, b := range byes {
+		c.bye(l, b)
+	}
+	waiting := p.waiting
+	p.waiting = nil
+	for _, t := range waiting {
+		c.put(t, c.pick(p))
+	}
+	c.keep(p)
+}
+
+func (c *Core) linkDown(in LinkDown) {
+	l := c.links[in.Link]
+	if l == nil {
+		return
+	}
+	p, was := l.peer, l.up
+	c.unlink(l)
+	if !was {
+		p.fails++
+		p.retryAt = c.now + c.retry.Gap(p.fails)
+		switch {
+		case !in.Refused:
+			p.refused = 0
+		case p.refused == 0:
+			p.refused = c.now
+		}
+	}
+	c.reset(l)
+	if !was && c.pick(p) == nil {
+		for _, t := range slices.Clone(p.waiting) {
+			c.Stats.NoConnect++
+			c.conclude(t)
+			c.ended(t, brain.Ended{Outcome: brain.NoConnect})
+		}
+	}
+	c.keep(p)
+}
+
+func (c *Core) unlink(l *link) {
+	delete(c.links, l.id)
+	l.peer.links = slices.DeleteFunc(l.peer.links, func(k *link) bool { return k == l })
+	l.up = false
+}
+
+// drop closes a link; what was out on it is unclear.
+func (c *Core) drop(l *link, why string) {
+	c.unlink(l)
+	c.do(Drop{l.id, why})
+	c.log(slog.LevelDebug, "link dropped", "exchange", l.peer.Name, "link", l.id, "why", why, "open", len(l.open))
+	c.reset(l)
+}
+
+// reset ends what was out on a link that is over. The exchange gives it up as it sees the end; if
+// it had answered, the call is hung up on the next link.
+func (c *Core) reset(l *link) {
+	for _, t := range slices.Clone(l.open) {
+		c.Stats.Resets++
+		c.hangUp(l.peer, t.call.id, t.call.name, isup.TemporaryFailure)
+		c.conclude(t)
+		c.ended(t, brain.Ended{Outcome: brain.Reset})
+	}
+}
+
+// pick is the link for a set-up: the one with least on it, nil if none is up.
+func (c *Core) pick(p *peer) *link {
+	var best *link
+	for _, l := range p.links {
+		if !l.up || l.spent && best != nil {
+			continue
+		}
+		if best == nil || best.spent || len(l.open) < len(best.open) {
+			best = l
+		}
+	}
+	return best
+}
+
+// hangUp ends a call at an exchange, now or when it can be reached.
+func (c *Core) hangUp(p *peer, id uint64, name string, cause byte) {
+	if p == nil || p.gone {
+		return
+	}
+	b := bye{id, name, cause}
+	if l := c.pick(p); l != nil {
+		c.bye(l, b)
+	} else if len(p.byes) < byesMost {
+		p.byes = append(p.byes, b)
+	}
+}
+
+func (c *Core) bye(l *link, b bye) {
+	m := &sip.Message{Method: sip.Bye, URI: "sip:" + b.name + "@net", CallID: b.name, Seq: 2, Of: sip.Bye}
+	c.do(Send{l.id, m.Put("Reason", sip.Reason(b.cause)), 1 << 62})
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -63,7 +63,7 @@
 
 type client struct {
 	r    *run
-	conn *transport.Conn
+	conn *transport.Conn[*signal.Message]
 	mu   sync.Mutex
 	tx   uint32
 	open map[uint32]began
@@ -114,7 +114,7 @@
 				return nil, fmt.Errorf("load: %w", err)
 			}
 			c := &client{r: r, open: map[uint32]began{}}
-			c.conn = transport.Start(nc, transport.Options{Outbox: guard.Outbox{Most: 1 << 20}, Write: time.Minute}, c)
+			c.conn = transport.Start(nc, transport.Options[*signal.Message]{Reader: signal.Reading(signal.Limits{}), Outbox: guard.Outbox{Most: 1 << 20}, Write: time.Minute}, c)
 			r.clients = append(r.clients, c)
 		}
 	}
@@ -191,7 +191,7 @@
 }
 
 // Message takes a controller's word.
-func (c *client) Message(conn *transport.Conn, m *signal.Message) {
+func (c *client) Message(conn *transport.Conn[*signal.Message], m *signal.Message) {
 	if m.Kind == signal.Request {
 		conn.Send(m.Answer(), 0)
 		return
@@ -237,10 +237,10 @@
 }
 
 // Bad is a message that can't be read: nothing waits for it.
-func (c *client) Bad(*transport.Conn, signal.SyntaxError) {}
+func (c *client) Bad(*transport.Conn[*signal.Message], transport.Skipped) {}
 
 // Unsent is a call that could not be sent.
-func (c *client) Unsent(_ *transport.Conn, m *signal.Message) {
+func (c *client) Unsent(_ *transport.Conn[*signal.Message], m *signal.Message) {
 	c.mu.Lock()
 	b, ok := c.open[m.ID]
 	delete(c.open, m.ID)
@@ -251,4 +251,4 @@
 }
 
 // Closed is the end of the connection.
-func (c *client) Closed(*transport.Conn, error) {}
+func (c *client) Closed(*transport.Conn[*signal.Message], error) {}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -21,7 +21,7 @@
 	t      *testing.T
 }
 
-func (s *server) Message(c *transport.Conn, m *signal.Message) {
+func (s *server) Message(c *transport.Conn[*signal.Message], m *signal.Message) {
 	switch m.Command {
 	case signal.Add:
 		s.n++
@@ -43,9 +43,9 @@
 		delete(s.opened, m.Term)
 	}
 }
-func (*server) Bad(*transport.Conn, signal.SyntaxError) {}
-func (*server) Unsent(*transport.Conn, *signal.Message) {}
-func (*server) Closed(*transport.Conn, error)           {}
+func (*server) Bad(*transport.Conn[*signal.Message], transport.Skipped)  {}
+func (*server) Unsent(*transport.Conn[*signal.Message], *signal.Message) {}
+func (*server) Closed(*transport.Conn[*signal.Message], error)           {}
 
 func TestOpenLoop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -58,7 +58,7 @@
 		go func() {
 			nc, err := ln.Accept()
 			if err == nil {
-				transport.Start(nc, transport.Options{}, s)
+				transport.Start(nc, transport.Options[*signal.Message]{Reader: signal.Reading(signal.Limits{})}, s)
 			}
 		}()
 		r, err := Run(t.Context(), Options{To: []string{ln.Addr().String()}, Rate: 300, For: 3 * time.Second, Classes: []string{"x"},
--- a/internal/rate/rate.go
+++ b/internal/rate/rate.go
@@ -201,7 +201,7 @@
 	list  net.Listener
 	exch  [4]net.Listener
 	mu    sync.Mutex
-	conns []*transport.Conn
+	conns []*transport.Conn[*signal.Message]
 }
 
 // manyCircuits is the size of every group: circuits are not what is measured.
@@ -217,7 +217,7 @@
 		}
 		in.exch[cell] = ln
 		lines = append(lines, signal.Field{Name: "Exchange", Value: fmt.Sprintf("%d cell=%d state=in since=0 at=%s", 100+cell, cell, ln.Addr())})
-		go in.accept(ln, func(c *transport.Conn, m *signal.Message) {
+		go in.accept(ln, func(c *transport.Conn[*signal.Message], m *signal.Message) {
 			c.Send(m.Answer(), 0)
 			if m.Command == signal.Modify && cell == 0 {
 				c.Send((&signal.Message{ID: 1, Command: signal.Notify, Term: signal.Root}).Put("Group", fmt.Sprint("1 ", manyCircuits, " ", manyCircuits)).
@@ -230,7 +230,7 @@
 		return nil, fmt.Errorf("rate: %w", err)
 	}
 	in.list = ln
-	go in.accept(ln, func(c *transport.Conn, m *signal.Message) {
+	go in.accept(ln, func(c *transport.Conn[*signal.Message], m *signal.Message) {
 		c.Send(m.Answer(), 0)
 		if m.Command == signal.Modify {
 			c.Send(&signal.Message{ID: 1, Command: signal.Notify, Term: signal.Root, Fields: lines}, 0)
@@ -240,25 +240,25 @@
 }
 
 type peer struct {
-	on func(*transport.Conn, *signal.Message)
+	on func(*transport.Conn[*signal.Message], *signal.Message)
 }
 
-func (p peer) Message(c *transport.Conn, m *signal.Message) {
+func (p peer) Message(c *transport.Conn[*signal.Message], m *signal.Message) {
 	if m.Kind == signal.Request {
 		p.on(c, m)
 	}
 }
-func (peer) Bad(*transport.Conn, signal.SyntaxError) {}
-func (peer) Unsent(*transport.Conn, *signal.Message) {}
-func (peer) Closed(*transport.Conn, error)           {}
+func (peer) Bad(*transport.Conn[*signal.Message], transport.Skipped)  {}
+func (peer) Unsent(*transport.Conn[*signal.Message], *signal.Message) {}
+func (peer) Closed(*transport.Conn[*signal.Message], error)           {}
 
-func (in *instant) accept(ln net.Listener, on func(*transport.Conn, *signal.Message)) {
+func (in *instant) accept(ln net.Listener, on func(*transport.Conn[*signal.Message], *signal.Message)) {
 	for {
 		nc, err := ln.Accept()
 		if err != nil {
 			return
 		}
-		c := transport.Start(nc, transport.Options{Outbox: guard.Outbox{Most: 1 << 20}}, peer{on})
+		c := transport.Start(nc, transport.Options[*signal.Message]{Reader: signal.Reading(signal.Limits{}), Outbox: guard.Outbox{Most: 1 << 20}}, peer{on})
 		in.mu.Lock()
 		in.conns = append(in.conns, c)
 		in.mu.Unlock()
--- a/internal/signal/message.go
+++ b/internal/signal/message.go
@@ -246,3 +246,6 @@
 func (m *Message) Ends() bool {
 	return m.Kind == Reply || m.Command == Subtract || m.Command == Notify && m.Term != Root
 }
+
+// SetUp tells whether the message opens a call.
+func (m *Message) SetUp() bool { return m.Kind == Request && m.Command == Add }
--- a/internal/signal/reader.go
+++ b/internal/signal/reader.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/textproto"
 	"strconv"
 	"strings"
@@ -42,6 +43,9 @@
 	What string
 }
 
+// Skipped marks it as an error after which the reader reads on.
+func (e *SyntaxError) Skipped() {}
+
 func (e *SyntaxError) Error() string { return fmt.Sprintf("%d %s", int(e.Code), e.What) }
 
 // ErrFraming says that no next message can be found: the connection is to be closed.
@@ -234,3 +238,8 @@
 }
 
 func control(c rune) bool { return c < ' ' || c == 0x7f }
+
+// Reading makes readers within limits, one for each connection.
+func Reading(l Limits) func(net.Conn) func() (*Message, error) {
+	return func(nc net.Conn) func() (*Message, error) { return NewReader(nc, l).Read }
+}
--- a/internal/standin/world/loop.go
+++ b/internal/standin/world/loop.go
@@ -81,29 +81,30 @@
 	closed  func()
 }
 
-func (h *handler) Message(_ *transport.Conn, m *signal.Message) {
+func (h *handler) Message(_ *transport.Conn[*signal.Message], m *signal.Message) {
 	h.w.loop.post(h.w.ctx, func() { h.message(m) })
 }
 
-func (h *handler) Bad(c *transport.Conn, s signal.SyntaxError) {
-	c.Send(&signal.Message{Kind: signal.Fault, Code: s.Code, Text: s.What}, 0)
+func (h *handler) Bad(c *transport.Conn[*signal.Message], s transport.Skipped) {
+	e := s.(*signal.SyntaxError)
+	c.Send(&signal.Message{Kind: signal.Fault, Code: e.Code, Text: e.What}, 0)
 }
 
-func (h *handler) Unsent(*transport.Conn, *signal.Message) {}
+func (h *handler) Unsent(*transport.Conn[*signal.Message], *signal.Message) {}
 
-func (h *handler) Closed(*transport.Conn, error) {
+func (h *handler) Closed(*transport.Conn[*signal.Message], error) {
 	h.w.loop.post(h.w.ctx, h.closed)
 }
 
 // serve starts a stand-in's end of a connection.
-func (w *World) serve(nc net.Conn, dialed bool, owner, role string, message func(*signal.Message), closed func()) *transport.Conn {
+func (w *World) serve(nc net.Conn, dialed bool, owner, role string, message func(*signal.Message), closed func()) *transport.Conn[*signal.Message] {
 	tap := w.capture.Open(transport.Key(nc, dialed), capture.Ends{Owner: owner, Role: role, Dialed: dialed})
-	return transport.Start(nc, transport.Options{Outbox: guard.Outbox{Most: 1 << 16}, Write: time.Minute, Tap: tap, Now: w.loop.clock},
+	return transport.Start(nc, transport.Options[*signal.Message]{Reader: signal.Reading(signal.Limits{}), Outbox: guard.Outbox{Most: 1 << 16}, Write: time.Minute, Tap: tap, Now: w.loop.clock},
 		&handler{w, message, closed})
 }
 
 // say sends without a time-out.
-func say(c *transport.Conn) func(*signal.Message) bool {
+func say(c *transport.Conn[*signal.Message]) func(*signal.Message) bool {
 	return func(m *signal.Message) bool { return c.Send(m, 1<<62) }
 }
 
@@ -121,11 +122,11 @@
 }
 
 // redial keeps a connection to a controller: made in the loop, made again when it is lost.
-func (w *World) redial(addr string, made func(net.Conn) *transport.Conn) {
+func (w *World) redial(addr string, made func(net.Conn) *transport.Conn[*signal.Message]) {
 	w.wg.Go(func() {
 		for w.ctx.Err() == nil {
 			if nc, err := w.net.Dial(w.ctx, addr); err == nil {
-				started := make(chan *transport.Conn, 1)
+				started := make(chan *transport.Conn[*signal.Message], 1)
 				w.loop.post(w.ctx, func() { started <- made(nc) })
 				select {
 				case c := <-started:
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -41,7 +41,7 @@
 }
 
 type link struct {
-	c  *transport.Conn
+	c  *transport.Conn[*signal.Message]
 	ec *exchange.Conn
 }
 
@@ -63,7 +63,7 @@
 	listLn   net.Listener
 	listAddr string
 	listAway atomic.Bool
-	lists    []*transport.Conn
+	lists    []*transport.Conn[*signal.Message]
 }
 
 // New draws a fleet and opens its listeners.
@@ -150,9 +150,9 @@
 }
 
 // talk serves a connection of an exchange: a controller's, or its own to its controller.
-func (w *World) talk(d *door, x *exchange.Exchange, nc net.Conn, transit bool) *transport.Conn {
+func (w *World) talk(d *door, x *exchange.Exchange, nc net.Conn, transit bool) *transport.Conn[*signal.Message] {
 	var ec *exchange.Conn
-	var c *transport.Conn
+	var c *transport.Conn[*signal.Message]
 	c = w.serve(nc, transit, exchangeOwner(x.ID), "controller",
 		func(m *signal.Message) {
 			if transit || !d.wire.mute.Load() {
@@ -181,9 +181,9 @@
 			return
 		}
 		var lc *exlist.Conn
-		var c *transport.Conn
+		var c *transport.Conn[*signal.Message]
 		c = w.serve(nc, false, "list", "controller", func(m *signal.Message) { w.List.Message(lc, m) }, func() {
-			w.lists = slices.DeleteFunc(w.lists, func(o *transport.Conn) bool { return o == c })
+			w.lists = slices.DeleteFunc(w.lists, func(o *transport.Conn[*signal.Message]) bool { return o == c })
 			w.List.Closed(lc)
 		})
 		send := say(c)
@@ -193,7 +193,7 @@
 	for cell := range w.scn.Fleet.Exchanges {
 		addr := hosts.Addr(cell)
 		for range w.scn.Callers.Connections {
-			w.redial(addr, func(nc net.Conn) *transport.Conn {
+			w.redial(addr, func(nc net.Conn) *transport.Conn[*signal.Message] {
 				var sc *subscriber.Conn
 				c := w.serve(nc, true, fmt.Sprintf("callers of %d", cell), "controller",
 					func(m *signal.Message) { w.Crowd.Message(sc, m) }, func() { w.Crowd.Closed(cell, sc) })
@@ -201,7 +201,7 @@
 				return c
 			})
 		}
-		w.redial(addr, func(nc net.Conn) *transport.Conn {
+		w.redial(addr, func(nc net.Conn) *transport.Conn[*signal.Message] {
 			x := w.Fleet.Current(cell)
 			return w.talk(w.doors[x.ID], x, nc, true)
 		})
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -10,12 +10,25 @@
 
 	"dahliaspindle/internal/capture"
 	"dahliaspindle/internal/guard"
-	"dahliaspindle/internal/signal"
 )
 
+// Message is what a connection carries.
+type Message interface {
+	Append([]byte) []byte // its wire form, behind what is there
+	SetUp() bool          // opens a call: held back by the fence and after its time
+}
+
+// Skipped is an error of a reader after which it may read on.
+type Skipped interface {
+	error
+	Skipped()
+}
+
 // Options of a connection. Zero fields take the defaults.
-type Options struct {
-	Limits signal.Limits
+type Options[M Message] struct {
+	// Reader makes what reads messages from the connection. Its errors end the
+	// connection unless they are Skipped.
+	Reader func(net.Conn) func() (M, error)
 	Outbox guard.Outbox
 	// Write bounds one write: a peer that takes nothing for so long is cut off.
 	Write time.Duration
@@ -28,11 +41,11 @@
 
 // Handler is told what happens on a connection. Message, Bad come from the
 // reader's goroutine, Unsent from the writer's; Closed comes once, after all others.
-type Handler interface {
-	Message(c *Conn, m *signal.Message)
-	Bad(c *Conn, e signal.SyntaxError)
-	Unsent(c *Conn, m *signal.Message) // a set-up that was not sent and won't be
-	Closed(c *Conn, why error)
+type Handler[M Message] interface {
+	Message(c *Conn[M], m M)
+	Bad(c *Conn[M], e Skipped)
+	Unsent(c *Conn[M], m M) // a set-up that was not sent and won't be
+	Closed(c *Conn[M], why error)
 }
 
 // Reasons for which this end closes a connection.
@@ -41,24 +54,26 @@
 	ErrClosed = errors.New("closed by this end")
 )
 
-type item struct {
-	m        *signal.Message
+type item[M Message] struct {
+	m        M
 	notAfter time.Duration
 	setup    bool
 }
 
 // Conn is one connection with its goroutines. They end with it.
-type Conn struct {
+type Conn[M Message] struct {
 	nc  net.Conn
-	opt Options
-	h   Handler
+	opt Options[M]
+	h   Handler[M]
 
 	mu      sync.Mutex
-	queue   []item
+	queue   []item[M]
 	fence   guard.Fence
 	writing bool // a batch with set-ups is being written
 	closed  bool
+	last    bool // closes once the queue is written
 	why     error
+	loops   int // of reader and writer, how many run
 	wake    chan struct{}
 	done    chan struct{}
 }
@@ -67,7 +82,7 @@
 const batchBytes = 32 << 10
 
 // Start takes over a connection.
-func Start(nc net.Conn, opt Options, h Handler) *Conn {
+func Start[M Message](nc net.Conn, opt Options[M], h Handler[M]) *Conn[M] {
 	if opt.Outbox.Most <= 0 {
 		opt.Outbox.Most = 4096
 	}
@@ -78,40 +93,44 @@
 		start := time.Now()
 		opt.Now = func() time.Duration { return time.Since(start) }
 	}
-	c := &Conn{nc: nc, opt: opt, h: h, wake: make(chan struct{}, 1), done: make(chan struct{})}
-	var both sync.WaitGroup
-	both.Go(c.read)
-	both.Go(c.write)
-	go func() {
-		both.Wait()
-		c.mu.Lock()
-		rest, why := c.queue, c.why
-		c.queue = nil
-		c.mu.Unlock()
-		for _, it := range rest {
-			if it.setup {
-				h.Unsent(c, it.m)
-			}
-		}
-		opt.Tap.Closed(why.Error())
-		h.Closed(c, why)
-		close(c.done)
-	}()
+	c := &Conn[M]{nc: nc, opt: opt, h: h, loops: 2, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	go c.run(c.read)
+	go c.run(c.write)
 	return c
 }
 
+// run owns one of the loops; the last to end tells the handler.
+func (c *Conn[M]) run(loop func()) {
+	loop()
+	c.mu.Lock()
+	c.loops--
+	rest, why, last := c.queue, c.why, c.loops == 0
+	c.mu.Unlock()
+	if !last {
+		return
+	}
+	for _, it := range rest {
+		if it.setup {
+			c.h.Unsent(c, it.m)
+		}
+	}
+	c.opt.Tap.Closed(why.Error())
+	c.h.Closed(c, why)
+	close(c.done)
+}
+
 // Done is closed when the connection is over and its handler has been told.
-func (c *Conn) Done() <-chan struct{} { return c.done }
+func (c *Conn[M]) Done() <-chan struct{} { return c.done }
 
 // Send queues a message; false if it was not taken. notAfter matters for
 // set-ups: one that can't leave by then comes back as Unsent. A connection whose
 // queue is full is closed.
-func (c *Conn) Send(m *signal.Message, notAfter time.Duration) bool {
-	it := item{m, notAfter, m.Kind == signal.Request && m.Command == signal.Add}
+func (c *Conn[M]) Send(m M, notAfter time.Duration) bool {
+	it := item[M]{m, notAfter, m.SetUp()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.closed, it.setup && c.fence.Shut, c.opt.Outbox.Refuse(it.setup, len(c.queue)):
+	case c.closed, c.last, it.setup && c.fence.Shut, c.opt.Outbox.Refuse(it.setup, len(c.queue)):
 		return false
 	case c.opt.Outbox.Stuck(len(c.queue)):
 		c.closeLocked(ErrSlow)
@@ -125,12 +144,12 @@
 	return true
 }
 
-// Recall takes a set-up back that has not left; false if it has, or is leaving.
-func (c *Conn) Recall(id uint32) bool {
+// Recall takes the set-up that is meant back if it has not left; false if it has, or is leaving.
+func (c *Conn[M]) Recall(meant func(M) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i, it := range c.queue {
-		if it.setup && it.m.ID == id {
+		if it.setup && meant(it.m) {
 			c.queue = append(c.queue[:i:i], c.queue[i+1:]...)
 			return true
 		}
@@ -139,14 +158,14 @@
 }
 
 // Queued is the number of messages waiting to be written.
-func (c *Conn) Queued() int {
+func (c *Conn[M]) Queued() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.queue)
 }
 
 // Fence keeps set-ups that have not left from leaving; they come back as Unsent.
-func (c *Conn) Fence() {
+func (c *Conn[M]) Fence() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.fence = guard.Fence{Shut: true, At: c.opt.Now()}
@@ -161,20 +180,33 @@
 }
 
 // Unfence lifts the fence.
-func (c *Conn) Unfence() {
+func (c *Conn[M]) Unfence() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.fence = guard.Fence{}
 }
 
 // Close ends the connection; what is queued is not sent.
-func (c *Conn) Close(why error) {
+func (c *Conn[M]) Close(why error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closeLocked(why)
 }
 
-func (c *Conn) closeLocked(why error) {
+// Finish ends the connection once what is queued has been written; nothing more is taken.
+func (c *Conn[M]) Finish(why error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last = true; c.why == nil {
+		c.why = why
+	}
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Conn[M]) closeLocked(why error) {
 	if c.closed {
 		return
 	}
@@ -186,11 +218,11 @@
 	}
 }
 
-func (c *Conn) read() {
-	r := signal.NewReader(c.nc, c.opt.Limits)
+func (c *Conn[M]) read() {
+	next := c.opt.Reader(c.nc)
 	for {
-		m, err := r.Read()
-		var bad *signal.SyntaxError
+		m, err := next()
+		var bad Skipped
 		switch {
 		case err == nil:
 			if c.opt.Tap != nil {
@@ -201,7 +233,7 @@
 			if c.opt.Tap != nil {
 				c.opt.Tap.Received([]byte("unreadable: " + bad.Error()))
 			}
-			c.h.Bad(c, *bad)
+			c.h.Bad(c, bad)
 		default:
 			c.Close(err)
 			return
@@ -209,10 +241,10 @@
 	}
 }
 
-func (c *Conn) write() {
+func (c *Conn[M]) write() {
 	var buf []byte
 	var ends []int
-	var taken, late []item
+	var taken, late []item[M]
 	for {
 		c.mu.Lock()
 		if c.closed {
@@ -244,11 +276,16 @@
 		if len(buf) > 0 {
 			_ = c.nc.SetWriteDeadline(time.Now().Add(c.opt.Write)) // fails only on a closed connection
 		}
+		done, why := c.last && len(taken) == 0, c.why
 		c.mu.Unlock()
 		for _, it := range late {
 			c.h.Unsent(c, it.m)
 		}
 		if len(buf) == 0 {
+			if done {
+				c.Close(why)
+				return
+			}
 			if n == 0 {
 				<-c.wake
 			}
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -25,17 +25,17 @@
 	closed []error
 }
 
-func (k *keeper) Message(_ *Conn, m *signal.Message) {
+func (k *keeper) Message(_ *Conn[*signal.Message], m *signal.Message) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.got = append(k.got, m)
 }
-func (k *keeper) Bad(_ *Conn, e signal.SyntaxError) {
+func (k *keeper) Bad(_ *Conn[*signal.Message], e Skipped) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.bad = append(k.bad, e)
+	k.bad = append(k.bad, *e.(*signal.SyntaxError))
 }
-func (k *keeper) Unsent(_ *Conn, m *signal.Message) {
+func (k *keeper) Unsent(_ *Conn[*signal.Message], m *signal.Message) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if len(k.closed) > 0 {
@@ -43,7 +43,7 @@
 	}
 	k.unsent = append(k.unsent, m.ID)
 }
-func (k *keeper) Closed(_ *Conn, err error) {
+func (k *keeper) Closed(_ *Conn[*signal.Message], err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.closed = append(k.closed, err)
@@ -72,6 +72,10 @@
 	return &signal.Message{ID: id, Context: 1, Command: signal.Add, Term: fmt.Sprint("c", id)}
 }
 
+func id(n uint32) func(*signal.Message) bool {
+	return func(m *signal.Message) bool { return m.ID == n }
+}
+
 func release(id uint32) *signal.Message {
 	return &signal.Message{ID: id, Context: 1, Command: signal.Subtract, Term: fmt.Sprint("c", id)}
 }
@@ -80,7 +84,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		a, b := pipe(t)
 		ka, kb := &keeper{}, &keeper{}
-		ca, cb := Start(a, Options{}, ka), Start(b, Options{}, kb)
+		ca, cb := Start(a, Options[*signal.Message]{Reader: signal.Reading(signal.Limits{})}, ka), Start(b, Options[*signal.Message]{Reader: signal.Reading(signal.Limits{})}, kb)
 		for i := range uint32(500) {
 			ca.Send(release(i+1), 0)
 			cb.Send(setup(i+1), time.Hour)
@@ -113,7 +117,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		a, b := pipe(t)
 		k := &keeper{}
-		c := Start(a, Options{Outbox: guard.Outbox{Most: 100}, Write: time.Minute, Grace: 250 * time.Millisecond}, k)
+		c := Start(a, Options[*signal.Message]{Reader: signal.Reading(signal.Limits{}), Outbox: guard.Outbox{Most: 100}, Write: time.Minute, Grace: 250 * time.Millisecond}, k)
 		c.Send(setup(1), time.Hour) // is being written
 		synctest.Wait()
 		taken := 0
@@ -125,7 +129,7 @@
 		if taken != 50 {
 			t.Fatalf("%d set-ups taken, want half of the queue", taken)
 		}
-		if !c.Send(release(1000), 0) || !c.Recall(2) || c.Recall(1) || c.Queued() != 50 {
+		if !c.Send(release(1000), 0) || !c.Recall(id(2)) || c.Recall(id(1)) || c.Queued() != 50 {
 			t.Fatal("room for releases, recall of what waits and of nothing else")
 		}
 		began := time.Now()
@@ -145,7 +149,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		a, b := pipe(t)
 		k := &keeper{}
-		c := Start(a, Options{Outbox: guard.Outbox{Most: 100}, Write: time.Minute}, k)
+		c := Start(a, Options[*signal.Message]{Reader: signal.Reading(signal.Limits{}), Outbox: guard.Outbox{Most: 100}, Write: time.Minute}, k)
 		for i := 0; c.Send(release(uint32(i+1)), 0); i++ {
 			if i > 200 {
 				t.Fatal("takes messages without end")
@@ -163,7 +167,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		a, b := pipe(t)
 		k := &keeper{}
-		c := Start(a, Options{Write: 2 * time.Second}, k)
+		c := Start(a, Options[*signal.Message]{Reader: signal.Reading(signal.Limits{}), Write: 2 * time.Second}, k)
 		began := time.Now()
 		c.Send(release(1), 0)
 		<-c.Done()
@@ -179,7 +183,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		a, b := pipe(t)
 		ka, kb := &keeper{}, &keeper{}
-		c := Start(a, Options{}, ka)
+		c := Start(a, Options[*signal.Message]{Reader: signal.Reading(signal.Limits{})}, ka)
 		time.Sleep(time.Second)
 		c.Send(setup(1), 900*time.Millisecond)
 		c.Send(release(2), 0)
@@ -187,7 +191,7 @@
 		if c.Send(setup(3), time.Hour) {
 			t.Fatal("a fenced connection takes set-ups")
 		}
-		peer := Start(b, Options{}, kb)
+		peer := Start(b, Options[*signal.Message]{Reader: signal.Reading(signal.Limits{})}, kb)
 		synctest.Wait()
 		if len(ka.unsent) != 1 || ka.unsent[0] != 1 || len(kb.got) != 1 || kb.got[0].ID != 2 {
 			t.Fatalf("unsent %v, got %v", ka.unsent, kb.got)
@@ -213,7 +217,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		a, b := pipe(t)
 		k := &keeper{}
-		c := Start(slivers{a}, Options{}, k)
+		c := Start(slivers{a}, Options[*signal.Message]{Reader: signal.Reading(signal.Limits{})}, k)
 		for _, text := range []string{"Transaction=7 Context=- Add", "=x\r\nDest: 1\r", "\n\r\nrubbish\r\n\r\nPending=8\r\n\r\n"} {
 			if _, err := b.Write([]byte(text)); err != nil {
 				t.Fatal(err)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -85,6 +85,7 @@
 		RetryAfter bool  `json:"retry_after"`
 		Peers      bool  `json:"peers"`
 		Probing    bool  `json:"probing"`
+		Connect    int64 `json:"connect_timeout_ns"`
 	} `json:"policy_limits"`
 	Profiles []struct {
 		Name      string  `json:"name"`
