--- a/internal/interwork/attempt.go
+++ b/internal/interwork/attempt.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"dahliaspindle/brain"
@@ -165,6 +166,7 @@
 		return
 	}
 	t := c.tries[id]
+	c.log(slog.LevelDebug, "final", "call", m.CallID, "status", m.Status, "seq", m.Seq, "head", m.Head, "body", string(m.Body))
 	if t == nil || t.link != l || m.Seq != t.n+1 {
 		c.late(l, id, m)
 		return
@@ -263,10 +265,30 @@
 	c.feed(brain.Ended{ID: x.name, Attempt: x.attempts - 1, Exchange: x.at.id, Outcome: o, After: c.now - x.stood, Final: true})
 }
 
-// notify is the state of a group.
+// notify is the state of the group towards an exchange. It comes on every link to it; only a
+// change is news.
 func (c *Core) notify(p *peer, m *sip.Message) {
-	c.log(slog.LevelInfo, "notify", "exchange", p.Name, "uri", m.URI, "head", m.Head, "body", string(m.Body))
+	r := c.state(p, m)
+	if !r.Known || r == p.told {
+		return
+	}
+	p.told = r
+	c.feed(brain.Circuits{Exchange: p.id, OK: true, Report: r})
 }
 
-// state is what an answer tells of the group towards its exchange.
-func (c *Core) state(p *peer, m *sip.Message) brain.Report { return brain.Report{} }
+// state is what a message tells of the group towards its exchange.
+func (c *Core) state(p *peer, m *sip.Message) (r brain.Report) {
+	var free, size bool
+	for part := range strings.SplitSeq(m.Get("Link-State"), ";") {
+		name, value, _ := strings.Cut(part, ":")
+		switch n, err := strconv.ParseFloat(value, 64); {
+		case err != nil || n < 0 || n > 1<<20:
+		case name == "idle":
+			r.Free, free = int(n), true
+		case name == "circuits":
+			r.Size, size = int(n), true
+		}
+	}
+	r.Known = free && size
+	return r
+}
--- a/internal/interwork/peer.go
+++ b/internal/interwork/peer.go
@@ -22,6 +22,7 @@
 	calls   map[uint64]*call
 	byes    []bye // to be said once a link is up
 	gone    bool
+	told    brain.Report // of the group, the last
 
 	heard   time.Duration // last sign of life
 	fails   int           // tries to connect in a row that came to nothing
