Answers are matched by call and link: further attempts are no longer taken for late

Exchanges answer CSeq 1 whatever the set-up's number was; final() compared it with the attempt's (attempt.go), so each further attempt ran into its time-out. Ruled out: answers under a wrong id, answers on another link (all came on the set-up's own). Now CSeq is 1 always and a further attempt after an unclear end takes another link. Tests of the core: answers, attempts, standing calls, list, leaving, tables.

--- a/internal/interwork/attempt.go
+++ b/internal/interwork/attempt.go
@@ -38,7 +38,7 @@
 		return
 	}
 	t.timer = c.timers.Set(t.notAfter, timer{try: t})
-	if l := c.pick(p); l != nil {
+	if l := c.pick(p, c.recent[x.id].link); l != nil {
 		c.put(t, l)
 		c.keep(p)
 		return
@@ -49,20 +49,22 @@
 	}
 }
 
-func (x *call) invite(n int, within time.Duration) *sip.Message {
-	m := &sip.Message{Method: sip.Invite, URI: "sip:" + x.number + "@net", CallID: x.name, Seq: n + 1, Of: sip.Invite, Body: x.desc}
+// invite is the set-up. Exchanges answer with CSeq 1 whatever stood there, so a further attempt at
+// the same exchange is told apart by its link.
+func (x *call) invite(within time.Duration) *sip.Message {
+	m := &sip.Message{Method: sip.Invite, URI: "sip:" + x.number + "@net", CallID: x.name, Seq: 1, Of: sip.Invite, Body: x.desc}
 	return m.Put("Call-Kind", x.class).Put("Answer-Within", strconv.FormatInt(max(within.Milliseconds(), 1), 10))
 }
 
 // fits tells whether the set-up can be passed on at all.
-func (c *Core) fits(x *call) bool { return len(x.invite(99, time.Hour).Append(nil)) <= sip.Most }
+func (c *Core) fits(x *call) bool { return len(x.invite(time.Hour).Append(nil)) <= sip.Most }
 
 // put sends the set-up on a link.
 func (c *Core) put(t *attempt, l *link) {
 	t.link = l
 	l.open = append(l.open, t)
 	l.used = c.now
-	c.do(Send{l.id, t.call.invite(t.n, t.notAfter-c.now), t.notAfter})
+	c.do(Send{l.id, t.call.invite(t.notAfter - c.now), t.notAfter})
 }
 
 // conclude takes an attempt out of all that holds it.
@@ -90,9 +92,9 @@
 			o = brain.NoConnect
 		}
 	} else {
-		c.remember(t.call.id, ending{ghost: t.peer})
+		c.remember(t.call.id, ending{ghost: t.peer, link: l})
 		c.do(Withdraw{l.id, t.call.name, &sip.Message{Method: sip.Cancel, URI: "sip:" + t.call.number + "@net",
-			CallID: t.call.name, Seq: t.n + 1, Of: sip.Cancel}})
+			CallID: t.call.name, Seq: 1, Of: sip.Cancel}})
 	}
 	c.ended(t, brain.Ended{Outcome: o})
 }
@@ -111,7 +113,7 @@
 func (c *Core) unsent(in Unsent) {
 	l := c.links[in.Link]
 	id, err := strconv.ParseUint(in.Msg.CallID, 16, 64)
-	if t := c.tries[id]; err == nil && t != nil && t.link == l && t.n == in.Msg.Seq-1 {
+	if t := c.tries[id]; err == nil && t != nil && t.link == l {
 		c.conclude(t)
 		c.ended(t, brain.Ended{Outcome: brain.Moot})
 	}
@@ -166,8 +168,7 @@
 		return
 	}
 	t := c.tries[id]
-	c.log(slog.LevelDebug, "final", "call", m.CallID, "status", m.Status, "seq", m.Seq, "head", m.Head, "body", string(m.Body))
-	if t == nil || t.link != l || m.Seq != t.n+1 {
+	if t == nil || t.link != l {
 		c.late(l, id, m)
 		return
 	}
@@ -207,6 +208,7 @@
 // late is an answer that nobody waits for: one to a set-up that was given up is ended in order.
 func (c *Core) late(l *link, id uint64, m *sip.Message) {
 	c.Stats.Late++
+	c.log(slog.LevelDebug, "late", "call", m.CallID, "status", m.Status, "seq", m.Seq, "link", l.id)
 	e, known := c.recent[id]
 	if !known || e.ghost != l.peer {
 		c.Stats.Stray++
--- /dev/null
+++ b/internal/interwork/core_test.go
@@ -0,0 +1,455 @@
+package interwork
+
+import (
+	"testing"
+	"time"
+
+	"dahliaspindle/brain"
+	"dahliaspindle/internal/isup"
+	"dahliaspindle/internal/sip"
+	"dahliaspindle/internal/srvlist"
+)
+
+func TestACallStandsAndEnds(t *testing.T) {
+	mod := direct(1)
+	r := newRig(t, mod)
+	l := r.stand(1, 7)
+	s, _ := r.sent(sip.Invite, 7)
+	if s.Msg.URI != "sip:7f3a9c21e0b4d655@net" || string(s.Msg.Body) != "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\n" || s.NotAfter != start+time.Second {
+		t.Errorf("INVITE %+v", s)
+	}
+	if r.count(sip.Ack, 7) != 1 {
+		t.Error("the answer got no ACK")
+	}
+	r.in(LinkSays{l, answer(7, 200)}) // a second copy
+	if r.count(sip.Bye, 7) != 0 {
+		t.Error("a second copy of the answer ended the call")
+	}
+	other := r.c.names["s-1"].links[1].id
+	r.in(LinkSays{other, bye_(7, 16)})
+	r.in(LinkSays{l, bye_(7, 16)})
+	if got := r.said(1, 7); got != "9 12/16" {
+		t.Errorf("the caller was told %q", got)
+	}
+	if ends := mod.ends(); len(ends) != 1 || ends[0].Outcome != brain.OK || !ends[0].Final {
+		t.Errorf("the module was told %+v", ends)
+	}
+}
+
+func TestEndsReachTheModuleAsTheyAre(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		head   []string
+		want   brain.Ended
+	}{
+		{503, []string{"Fail-Word", "rtb"}, brain.Ended{Outcome: brain.Full, Note: brain.TurnedBack}},
+		{503, []string{"Fail-Word", "racc"}, brain.Ended{Outcome: brain.Full, Note: brain.DestProcFull}},
+		{503, []string{"Fail-Word", "acc", "Proc-Wait", "120"}, brain.Ended{Outcome: brain.Full, Note: brain.ProcFull, Wait: 120 * time.Millisecond}},
+		{480, []string{"Fail-Word", "atb"}, brain.Ended{Outcome: brain.Moot, Note: brain.NoCircuit}},
+		{480, []string{"Fail-Word", "acc"}, brain.Ended{Outcome: brain.Moot, Note: brain.ProcFull}},
+		{486, []string{"Fail-Word", "sub"}, brain.Ended{Outcome: brain.Failed, Note: brain.LinesBusy}},
+		{500, nil, brain.Ended{Outcome: brain.Failed}},
+		{504, nil, brain.Ended{Outcome: brain.Reset}},
+	} {
+		mod := direct(1)
+		r := newRig(t, mod)
+		r.call(1, setUp(7, 1))
+		s, _ := r.sent(sip.Invite, 7)
+		r.in(LinkSays{s.Link, answer(7, c.status, c.head...)})
+		ends := mod.ends()
+		if len(ends) != 1 || ends[0].Outcome != c.want.Outcome || ends[0].Note != c.want.Note || ends[0].Wait != c.want.Wait || ends[0].Final {
+			t.Errorf("%d %v: the module was told %+v", c.status, c.head, ends)
+		}
+		if r.count(sip.Ack, 7) != 1 {
+			t.Errorf("%d: no ACK", c.status)
+		}
+		if got := r.said(1, 7); got != "12/42" {
+			t.Errorf("%d: the caller was told %q", c.status, got)
+		}
+	}
+}
+
+func TestARefusalNamesWholeMilliseconds(t *testing.T) {
+	r := newRig(t, direct(1))
+	r.call(1, setUp(7, 1))
+	s, _ := r.sent(sip.Invite, 7)
+	r.in(LinkSays{s.Link, answer(7, 503)})
+	for _, e := range r.out {
+		if e, ok := e.(Say); ok {
+			if v, _ := e.Msg.Get(isup.StayAway); string(v) != "2" {
+				t.Errorf("stay away %q, want 2", v)
+			}
+		}
+	}
+}
+
+// Exchanges answer with CSeq 1 whatever the set-up's was: with numbers a further attempt's answers
+// were taken for late ones.
+func TestAFurtherAttemptIsAnswered(t *testing.T) {
+	mod := direct(2)
+	r := newRig(t, mod)
+	r.call(1, setUp(7, 1))
+	first, _ := r.sent(sip.Invite, 7)
+	r.in(LinkSays{first.Link, answer(7, 480, "Fail-Word", "atb")})
+	second, _ := r.sent(sip.Invite, 7)
+	if r.count(sip.Invite, 7) != 2 || second.Msg.Seq != 1 {
+		t.Fatalf("%d attempts, CSeq %d", r.count(sip.Invite, 7), second.Msg.Seq)
+	}
+	r.in(LinkSays{second.Link, answer(7, 200)})
+	if got := r.said(1, 7); got != "9" {
+		t.Errorf("the caller was told %q", got)
+	}
+}
+
+func TestALateAnswerIsHungUpAndTheFurtherAttemptIsNotTakenForIt(t *testing.T) {
+	mod := direct(2)
+	r := newRig(t, mod)
+	r.call(1, setUp(7, 1))
+	first, _ := r.sent(sip.Invite, 7)
+	r.pass(time.Second)
+	if ends := mod.ends(); len(ends) != 1 || ends[0].Outcome != brain.TimedOut {
+		t.Fatalf("ends %+v", ends)
+	}
+	second, _ := r.sent(sip.Invite, 7)
+	if r.withdrawn(7) != 1 || second.Link == first.Link {
+		t.Fatalf("%d withdrawn; links %d and %d", r.withdrawn(7), first.Link, second.Link)
+	}
+	r.in(LinkSays{first.Link, answer(7, 200)})
+	if r.said(1, 7) != "" || r.count(sip.Ack, 7) != 1 || r.count(sip.Bye, 7) != 1 {
+		t.Errorf("after a late answer: said %q, %d ACK, %d BYE", r.said(1, 7), r.count(sip.Ack, 7), r.count(sip.Bye, 7))
+	}
+	r.in(LinkSays{second.Link, answer(7, 200)})
+	if got := r.said(1, 7); got != "9" {
+		t.Errorf("the caller was told %q", got)
+	}
+}
+
+func TestAGivenUpSetUpIsCancelledAndNotAnswered(t *testing.T) {
+	mod := direct(1)
+	r := newRig(t, mod)
+	r.call(1, setUp(7, 1))
+	s, _ := r.sent(sip.Invite, 7)
+	r.call(1, release(7, 16))
+	r.in(LinkSays{s.Link, answer(7, 200)})
+	if r.said(1, 7) != "" || r.withdrawn(7) != 1 || r.count(sip.Ack, 7) != 1 || r.count(sip.Bye, 7) != 1 {
+		t.Errorf("said %q, %d withdrawn, %d ACK, %d BYE", r.said(1, 7), r.withdrawn(7), r.count(sip.Ack, 7), r.count(sip.Bye, 7))
+	}
+	if ends := mod.ends(); len(ends) != 1 || ends[0].Outcome != brain.Cancelled || !ends[0].Final {
+		t.Errorf("the module was told %+v", ends)
+	}
+	r.call(2, setUp(8, 1))
+	r.in(CallerDown{2})
+	if r.withdrawn(8) != 1 || r.c.open != 0 || len(r.c.calls) != 0 || len(r.c.tries) != 0 {
+		t.Errorf("after the connection's end: %d withdrawn, %d open, %d calls", r.withdrawn(8), r.c.open, len(r.c.calls))
+	}
+}
+
+func TestBadSetUpsAreRefusedAtOnceAndHurtNobody(t *testing.T) {
+	mod := direct(1)
+	r := newRig(t, mod)
+	r.call(1, setUp(7, 1))
+	for i, m := range []*isup.Message{
+		change(setUp(100, 1), isup.Class, "nobody"), change(setUp(101, 1), isup.Patience, "-5"),
+		change(setUp(102, 1), isup.Patience, "NaN"), change(setUp(103, 1), isup.Number, "7f3a9c21e0b4d65"),
+		change(setUp(104, 1), isup.Number, "7f3a9c21 HTTP/1"), change(setUp(105, 1), isup.Figures, "dest:9;width:1;via:-1"),
+		change(setUp(106, 1), isup.Figures, "dest:0;width:1;via:-1"), change(setUp(107, 1), isup.Figures, "dest:1;width:0;via:-1"),
+		change(setUp(108, 1), isup.Figures, "dest:1;width:3;via:-1"), change(setUp(109, 1), isup.Figures, "dest:1;width:1e9;via:-1"),
+		change(setUp(110, 1), isup.Figures, "dest:1;width:1;via:-2"), change(setUp(111, 1), isup.Figures, "nonsense"),
+		change(setUp(112, 1), isup.Figures, ""), change(setUp(113, 1), isup.Retry, "x"), {Type: isup.SetUp, Call: 114},
+		change(setUp(115, 1), isup.Description, string(make([]byte, sip.Most-100))),
+	} {
+		if i != 13 { // retry is not among the parameters there
+			r.call(2, m)
+			if got := r.said(2, m.Call); got != "12/100" {
+				t.Errorf("set-up %d was told %q", m.Call, got)
+			}
+		}
+	}
+	r.call(2, setUp(113, 1).With(isup.Retry, []byte("x")))
+	if got := r.said(2, 113); got != "12/100" {
+		t.Errorf("set-up 113 was told %q", got)
+	}
+	r.call(2, setUp(7, 1)) // the id of another's open call
+	if got := r.said(2, 7); got != "12/42" {
+		t.Errorf("a second set-up of an open id was told %q", got)
+	}
+	r.call(2, setUp(9, 2))
+	r.call(2, setUp(9, 1)) // of an own one
+	if !r.shut(2) || r.said(2, 9) != "" || r.withdrawn(9) != 1 {
+		t.Errorf("two set-ups under one id: shut %v, said %q", r.shut(2), r.said(2, 9))
+	}
+	s, _ := r.sent(sip.Invite, 7)
+	r.in(LinkSays{s.Link, answer(7, 200)})
+	if got := r.said(1, 7); got != "9" {
+		t.Errorf("the first call was told %q", got)
+	}
+}
+
+func TestOneConnectionHoldsOnlySoManyOpenSetUps(t *testing.T) {
+	r := newRig(t, direct(1))
+	for id := uint64(1); id <= 6; id++ {
+		r.call(1, setUp(id, 1))
+	}
+	if got := r.said(1, 6); got != "12/42" || r.said(1, 5) != "" {
+		t.Errorf("the sixth was told %q, the fifth %q", got, r.said(1, 5))
+	}
+}
+
+func TestAnAdoptedCallIsReleasedWhereItWasNamedLast(t *testing.T) {
+	r := newRig(t, direct(1))
+	at := func(id uint64, x string) *isup.Message {
+		return change(setUp(id, 1), isup.Figures, "dest:1;width:1;via:-1;at:"+x)
+	}
+	r.call(1, at(7, "s-1"))
+	r.call(1, at(7, "s-1"))
+	r.call(2, at(7, "s-1"))
+	if r.said(1, 7)+r.said(2, 7) != "" || r.count(sip.Invite, 7) != 0 || r.c.Stats.Adopted != 1 {
+		t.Fatalf("said %q and %q", r.said(1, 7), r.said(2, 7))
+	}
+	r.in(LinkSays{r.link(1), bye_(7, 41)})
+	if r.said(2, 7) != "12/41" || r.said(1, 7) != "" {
+		t.Errorf("said %q and %q", r.said(1, 7), r.said(2, 7))
+	}
+	r.call(1, at(7, "s-1")) // once more: it is over
+	if r.said(1, 7) != "12/41" {
+		t.Errorf("said %q", r.said(1, 7))
+	}
+	r.call(1, at(8, "s-77"))
+	if r.said(1, 8) != "12/41" {
+		t.Errorf("a call at an exchange that nobody knows: said %q", r.said(1, 8))
+	}
+}
+
+func TestACallOutlivesItsConnections(t *testing.T) {
+	r := newRig(t, direct(1))
+	l := r.stand(1, 7)
+	r.in(LinkDown{Link: l})
+	r.in(CallerDown{1})
+	r.pass(time.Second)
+	if r.count(sip.Bye, 7) != 0 || len(r.c.calls) != 1 {
+		t.Fatal("the call ended with a connection")
+	}
+	r.call(2, change(setUp(7, 1), isup.Figures, "dest:1;width:1;via:-1;at:s-1"))
+	r.in(LinkSays{r.link(1), bye_(7, 16)})
+	if got := r.said(2, 7); got != "12/16" {
+		t.Errorf("said %q", got)
+	}
+}
+
+func TestCallersEndACallOnAnyConnection(t *testing.T) {
+	mod := direct(1)
+	r := newRig(t, mod)
+	r.stand(1, 7)
+	r.call(2, release(7, 16))
+	if r.count(sip.Bye, 7) != 1 || r.said(2, 7) != "16" || len(mod.ends()) != 1 {
+		t.Errorf("%d BYE, said %q, %d ends", r.count(sip.Bye, 7), r.said(2, 7), len(mod.ends()))
+	}
+}
+
+func TestABrokenLinkIsUnclearAndOneThatNeverStoodIsNot(t *testing.T) {
+	mod := direct(1)
+	r := newRig(t, mod)
+	r.call(1, setUp(7, 1))
+	s, _ := r.sent(sip.Invite, 7)
+	r.in(LinkDown{Link: s.Link})
+	if ends := mod.ends(); len(ends) != 1 || ends[0].Outcome != brain.Reset {
+		t.Fatalf("ends %+v", ends)
+	}
+	if r.count(sip.Bye, 7) != 1 {
+		t.Error("the call is not hung up, should it stand")
+	}
+	for _, l := range r.links() {
+		if l.peer.Name == "s-2" {
+			r.in(LinkDown{Link: l.id})
+		}
+	}
+	r.call(1, setUp(8, 2))
+	for _, d := range r.dial {
+		r.in(LinkDown{Link: d.Link, Refused: true})
+	}
+	r.dial = nil
+	if ends := mod.ends(); len(ends) != 2 || ends[1].Outcome != brain.NoConnect || r.count(sip.Invite, 8) != 0 {
+		t.Errorf("ends %+v", ends)
+	}
+}
+
+func TestCallsAtAnExchangeThatIsGoneAreOver(t *testing.T) {
+	for what, happen := range map[string]func(r *rig){
+		"gone from the list": func(r *rig) {
+			e := entry(1)
+			e.State = brain.Out
+			r.in(Listed{Changes: []srvlist.Entry{e}})
+		},
+		"started again": func(r *rig) {
+			e := entry(1)
+			e.Born = int64((time.Hour*1000 + r.now + 1) / time.Millisecond)
+			r.in(Listed{Changes: []srvlist.Entry{e}})
+		},
+		"refuses": func(r *rig) {
+			for _, l := range r.links() {
+				if l.peer.Name == "s-1" {
+					r.in(LinkDown{Link: l.id})
+				}
+			}
+			for range 40 {
+				r.now += 50 * time.Millisecond
+				r.in(Tick{})
+				for _, d := range r.dial {
+					r.in(LinkDown{Link: d.Link, Refused: true})
+				}
+				r.dial = nil
+			}
+		},
+		"silent": func(r *rig) {
+			for range 140 {
+				r.now += 50 * time.Millisecond
+				r.in(Tick{})
+				for _, d := range r.dial {
+					if d.Addr != entry(1).Addr {
+						r.in(LinkUp{d.Link})
+					}
+				}
+				r.dial = nil
+			}
+		},
+	} {
+		mod := direct(1)
+		r := newRig(t, mod)
+		r.stand(1, 7)
+		r.pass(100 * time.Millisecond)
+		happen(r)
+		if got := r.said(1, 7); got != "9 12/41" {
+			t.Errorf("%s: the caller was told %q", what, got)
+		}
+		if ends := mod.ends(); len(ends) != 1 || ends[0].Outcome != brain.Reset || !ends[0].Final {
+			t.Errorf("%s: the module was told %+v", what, ends)
+		}
+	}
+}
+
+func TestNothingNewGoesToADrainingExchange(t *testing.T) {
+	mod := direct(1)
+	r := newRig(t, mod)
+	r.stand(1, 7)
+	for _, l := range r.links() {
+		if l.peer.Name == "s-1" {
+			r.in(LinkDown{Link: l.id})
+		}
+	}
+	r.call(1, setUp(8, 1)) // waits for a link
+	e := entry(1)
+	e.State = brain.Draining
+	r.in(Listed{Changes: []srvlist.Entry{e}})
+	if ends := mod.ends(); len(ends) != 1 || ends[0].Outcome != brain.Moot {
+		t.Errorf("ends %+v", ends)
+	}
+	r.up()
+	fenced := false
+	for _, e := range r.out {
+		if f, ok := e.(Fence); ok && f.Shut {
+			fenced = true
+		}
+	}
+	if !fenced || r.count(sip.Invite, 8) != 0 || len(r.c.calls) != 1 {
+		t.Errorf("fenced %v, %d INVITE, %d calls", fenced, r.count(sip.Invite, 8), len(r.c.calls))
+	}
+}
+
+func TestASilentLinkWithWorkIsFoundByATest(t *testing.T) {
+	mod := direct(1)
+	r := newRig(t, mod)
+	r.call(1, setUp(7, 1))
+	for range 20 {
+		r.now += 50 * time.Millisecond
+		r.in(Tick{})
+	}
+	if ends := mod.ends(); len(ends) != 1 || ends[0].Outcome != brain.Reset || ends[0].After > quiet+testWithin+2*houseEvery {
+		t.Errorf("ends %+v", ends)
+	}
+}
+
+func TestLeavingAnswersWhatWasTaken(t *testing.T) {
+	r := newRig(t, direct(1))
+	r.call(1, setUp(7, 1))
+	r.in(Leave{})
+	r.pass(500 * time.Millisecond)
+	r.call(2, setUp(8, 1)) // still taken
+	r.pass(300 * time.Millisecond)
+	s7, _ := r.sent(sip.Invite, 7)
+	s8, ok := r.sent(sip.Invite, 8)
+	if !ok || r.c.left {
+		t.Fatal("a call after the word to leave was not taken, or nobody waited for it")
+	}
+	r.call(2, setUp(9, 1))
+	if r.said(2, 9) != "12/42" {
+		t.Errorf("a call after the listener was closed was told %q", r.said(2, 9))
+	}
+	r.in(LinkSays{s7.Link, answer(7, 200)})
+	r.in(LinkSays{s8.Link, answer(8, 200)})
+	r.pass(100 * time.Millisecond)
+	if !r.c.left || r.said(1, 7) != "9" || r.count(sip.Bye, 7) != 0 {
+		t.Errorf("left %v, said %q, %d BYE", r.c.left, r.said(1, 7), r.count(sip.Bye, 7))
+	}
+}
+
+func TestSilentConnectionsAreClosedAndTheOldestMakeRoom(t *testing.T) {
+	r := newRig(t, direct(1))
+	r.stand(1, 7)
+	r.call(2, &isup.Message{Type: isup.Test, Call: 1})
+	for conn := Conn(3); conn <= 9; conn++ {
+		r.now += time.Millisecond
+		r.in(CallerUp{conn})
+	}
+	if !r.shut(3) || r.shut(1) || r.shut(2) || r.shut(9) {
+		t.Error("not the oldest silent connection made room")
+	}
+	r.pass(3 * time.Second)
+	if !r.shut(9) || r.shut(1) || r.shut(2) {
+		t.Error("silent connections stay, or others don't")
+	}
+}
+
+// Nothing that the core holds may grow with what has come and gone.
+func TestTablesGoBackToNothing(t *testing.T) {
+	r := newRig(t, nil)
+	size := func() [8]int {
+		c := r.c
+		return [8]int{len(c.calls), len(c.tries), len(c.callers), len(c.order), len(c.peers), len(c.names), len(c.ids), len(c.cells)}
+	}
+	r.in(CallerDown{1})
+	r.in(CallerDown{2})
+	r.pass(time.Minute)
+	before := size()
+	id := uint64(1000)
+	for n := 4; n < 1500; n++ {
+		e := entry(n)
+		e.Cell = 4 + n%3
+		r.in(Listed{Changes: []srvlist.Entry{e}})
+		r.up()
+		conn := Conn(n)
+		r.in(CallerUp{conn})
+		for range 3 {
+			id++
+			r.call(conn, setUp(id, 1+int(id)%3))
+			if s, ok := r.sent(sip.Invite, id); ok && id%3 > 0 {
+				r.in(LinkSays{s.Link, answer(id, 200)})
+				r.in(LinkSays{s.Link, bye_(id, 16)})
+			}
+		}
+		r.out = nil
+		r.pass(100 * time.Millisecond)
+		r.in(CallerDown{conn})
+		e.State = brain.Out
+		r.in(Listed{Changes: []srvlist.Entry{e}})
+	}
+	r.pass(time.Minute)
+	if after := size(); after != before {
+		t.Errorf("tables hold %v, %v before", after, before)
+	}
+	if n := len(r.c.links); n > 4*len(r.c.peers) {
+		t.Errorf("%d links", n)
+	}
+	if n := r.c.timers.Len(); n > 4 || len(r.c.recent) > 0 || len(r.c.recents) > 0 {
+		t.Errorf("%d timers, %d calls remembered", n, len(r.c.recent))
+	}
+}
--- a/internal/interwork/interwork.go
+++ b/internal/interwork/interwork.go
@@ -156,6 +156,7 @@
 
 // Times of the edge. Nothing here touches a call that the module has.
 const (
+	tellEvery   = time.Second
 	houseEvery  = 50 * time.Millisecond
 	mute        = 2500 * time.Millisecond // a caller's connection that has said nothing
 	idle        = 12 * time.Second        // one without a call
@@ -185,6 +186,28 @@
 	house bool
 }
 
+// tell logs what the controller believes, to be held against what passed.
+func (c *Core) tell() {
+	if c.now < c.tellAt {
+		return
+	}
+	c.tellAt = c.now + tellEvery
+	c.log(slog.LevelDebug, "state", "open", c.open, "calls", len(c.calls), "tries", len(c.tries), "timers", c.timers.Len(),
+		"callers", len(c.callers), "recent", len(c.recent), "stats", c.Stats)
+	for _, p := range c.peers {
+		up, out := 0, 0
+		for _, l := range p.links {
+			if l.up {
+				up++
+			}
+			out += len(l.open)
+		}
+		c.log(slog.LevelDebug, "exchange", "name", p.Name, "cell", p.Cell, "state", p.State, "free", p.told.Free, "size", p.told.Size,
+			"links", len(p.links), "up", up, "out", out, "waiting", len(p.waiting), "standing", len(p.calls), "fails", p.fails,
+			"heard", c.now-p.heard)
+	}
+}
+
 // Core is one controller. It is not safe for concurrent use.
 type Core struct {
 	cfg     Config
@@ -218,6 +241,7 @@
 	leaving      bool
 	leaveAt      time.Duration
 	closed, left bool
+	tellAt       time.Duration
 	Stats        Stats
 }
 
@@ -227,6 +251,7 @@
 	cause byte
 	said  bool  // its caller was told
 	ghost *peer // where a set-up was given up that may still be answered
+	link  *link // and on which link
 }
 
 // New starts a core.
@@ -303,6 +328,7 @@
 	}
 	c.peers = compact(c.peers)
 	c.sweepCallers()
+	c.tell()
 	n := 0
 	for n < len(c.recents) && (c.now-c.recent[c.recents[n]].at > recentFor || len(c.recents)-n > recentMost) {
 		delete(c.recent, c.recents[n])
--- a/internal/interwork/peer.go
+++ b/internal/interwork/peer.go
@@ -263,7 +263,7 @@
 	waiting := p.waiting
 	p.waiting = nil
 	for _, t := range waiting {
-		c.put(t, c.pick(p))
+		c.put(t, c.pick(p, nil))
 	}
 	c.keep(p)
 }
@@ -286,7 +286,7 @@
 		}
 	}
 	c.reset(l)
-	if !was && c.pick(p) == nil {
+	if !was && c.pick(p, nil) == nil {
 		for _, t := range slices.Clone(p.waiting) {
 			c.Stats.NoConnect++
 			c.conclude(t)
@@ -321,14 +321,14 @@
 	}
 }
 
-// pick is the link for a set-up: the one with least on it, nil if none is up.
-func (c *Core) pick(p *peer) *link {
+// pick is the link for a set-up: the one with least on it, rather not a given one; nil if none is up.
+func (c *Core) pick(p *peer, not *link) *link {
 	var best *link
 	for _, l := range p.links {
-		if !l.up || l.spent && best != nil {
-			continue
-		}
-		if best == nil || best.spent || len(l.open) < len(best.open) {
+		bad, badBest := l.spent || l == not, best != nil && (best.spent || best == not)
+		switch {
+		case !l.up:
+		case best == nil, badBest && !bad, bad == badBest && len(l.open) < len(best.open):
 			best = l
 		}
 	}
@@ -341,7 +341,7 @@
 		return
 	}
 	b := bye{id, name, cause}
-	if l := c.pick(p); l != nil {
+	if l := c.pick(p, nil); l != nil {
 		c.bye(l, b)
 	} else if len(p.byes) < byesMost {
 		p.byes = append(p.byes, b)
--- /dev/null
+++ b/internal/interwork/rig_test.go
@@ -0,0 +1,266 @@
+package interwork
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"dahliaspindle/brain"
+	"dahliaspindle/internal/isup"
+	"dahliaspindle/internal/policy"
+	"dahliaspindle/internal/sip"
+	"dahliaspindle/internal/srvlist"
+)
+
+const start = time.Hour
+
+// script is a module that does what a test says and keeps what it is told.
+type script struct {
+	events []brain.Event
+	on     func(e brain.Event) []brain.Action
+}
+
+func (s *script) Handle(_ time.Duration, e brain.Event) []brain.Action {
+	s.events = append(s.events, e)
+	if s.on == nil {
+		return nil
+	}
+	return s.on(e)
+}
+
+// ends are the ends of attempts that the module was told.
+func (s *script) ends() (out []brain.Ended) {
+	for _, e := range s.events {
+		if e, ok := e.(brain.Ended); ok {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// rig is a core with what it asked for; time stands until it is moved.
+type rig struct {
+	t    *testing.T
+	c    *Core
+	mod  *script
+	now  time.Duration
+	out  []Effect
+	dial []Dial // not yet up or down
+}
+
+var settings = brain.Settings{Self: 0, Controllers: 3, MaxAttempts: 6, ReleaseWait: 300 * time.Millisecond, Cancelling: true,
+	DrainGrace: 250 * time.Millisecond, Backoff: true, BackoffMax: 2 * time.Second, Tick: 5 * time.Millisecond,
+	Classes: []brain.Class{{Name: "voice", Worth: 1, Aim: time.Second, GiveUp: 4 * time.Second, Width: 1, Holding: 10 * time.Second},
+		{Name: "wide", Worth: 2, Aim: time.Second, GiveUp: 4 * time.Second, Width: 2, Holding: 10 * time.Second}}}
+
+func entry(n int) srvlist.Entry {
+	return srvlist.Entry{Name: fmt.Sprintf("s-%d", n), Addr: fmt.Sprintf("10.0.0.%d:1", n), Cell: n}
+}
+
+// newRig has exchanges 0 to 3; the module is the script's or, with nil, the real one.
+func newRig(t *testing.T, mod *script) *rig {
+	r := &rig{t: t, mod: mod, now: start}
+	var m policy.Module = mod
+	if mod == nil {
+		m = brain.New(settings)
+	}
+	r.c = New(Config{Module: m, Settings: settings, Connect: 500 * time.Millisecond, Epoch: int64(time.Hour) * 1000,
+		Links: 4, Conns: 8, PerConn: 5, Calls: 1000}, start)
+	r.in(Listed{Complete: true, Changes: []srvlist.Entry{entry(0), entry(1), entry(2), entry(3)}})
+	r.up()
+	for n := 1; n <= 3; n++ {
+		r.in(LinkSays{r.link(n), &sip.Message{Method: sip.Notify, Of: sip.Notify, Head: map[string][]string{"Link-State": {"idle:20;circuits:20"}}}})
+	}
+	r.in(CallerUp{1})
+	r.in(CallerUp{2})
+	r.out = nil
+	return r
+}
+
+func (r *rig) in(in Input) []Effect {
+	out := r.c.Handle(r.now, in)
+	r.out = append(r.out, out...)
+	for _, e := range out {
+		if d, ok := e.(Dial); ok {
+			r.dial = append(r.dial, d)
+		}
+	}
+	return out
+}
+
+// up lets all connections that were asked for stand.
+func (r *rig) up() {
+	for len(r.dial) > 0 {
+		d := r.dial[0]
+		r.dial = r.dial[1:]
+		r.in(LinkUp{d.Link})
+	}
+}
+
+// pass moves the time, with connections standing at once, tests passing and the timers firing.
+func (r *rig) pass(d time.Duration) {
+	for until := r.now + d; ; {
+		at := r.c.Next()
+		if at > until {
+			r.now = until
+			return
+		}
+		r.now = max(at, r.now)
+		r.in(Tick{})
+		r.up()
+		for _, l := range r.links() {
+			if l.tested > 0 {
+				r.in(LinkSays{l.id, &sip.Message{Status: 200, Of: sip.Options}})
+			}
+		}
+	}
+}
+
+func (r *rig) links() (ls []*link) {
+	for _, p := range r.c.peers {
+		ls = append(ls, p.links...)
+	}
+	return ls
+}
+
+// link is the first that is up to an exchange.
+func (r *rig) link(n int) Link {
+	for _, l := range r.c.names[fmt.Sprintf("s-%d", n)].links {
+		if l.up {
+			return l.id
+		}
+	}
+	r.t.Fatalf("no link to exchange %d", n)
+	return 0
+}
+
+func setUp(id uint64, dest int) *isup.Message {
+	return (&isup.Message{Type: isup.SetUp, Call: id}).With(isup.Class, []byte("voice")).With(isup.Patience, []byte("1500")).
+		With(isup.Number, []byte("7f3a9c21e0b4d655")).With(isup.Figures, fmt.Appendf(nil, "dest:%d;width:1;via:-1", dest)).
+		With(isup.Description, []byte("9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\n"))
+}
+
+// change replaces a parameter.
+func change(m *isup.Message, code byte, value string) *isup.Message {
+	for i := range m.Params {
+		if m.Params[i].Code == code {
+			m.Params[i].Value = []byte(value)
+		}
+	}
+	return m
+}
+
+func (r *rig) call(conn Conn, m *isup.Message) []Effect {
+	return r.in(CallerSays{conn, r.now, m})
+}
+
+func name(id uint64) string { return fmt.Sprintf("%016x", id) }
+
+// sent finds the last message of a method for a call.
+func (r *rig) sent(method string, id uint64) (found Send, ok bool) {
+	for _, e := range r.out {
+		if s, is := e.(Send); is && s.Msg.Method == method && s.Msg.CallID == name(id) {
+			found, ok = s, true
+		}
+	}
+	return found, ok
+}
+
+func (r *rig) count(method string, id uint64) (n int) {
+	for _, e := range r.out {
+		if s, is := e.(Send); is && s.Msg.Method == method && s.Msg.CallID == name(id) {
+			n++
+		}
+	}
+	return n
+}
+
+// said are the types of what a caller's connection was told of a call, with causes of releases.
+func (r *rig) said(conn Conn, id uint64) string {
+	var out []string
+	for _, e := range r.out {
+		if s, is := e.(Say); is && s.Conn == conn && s.Msg.Call == id {
+			word := fmt.Sprint(s.Msg.Type)
+			if s.Msg.Type == isup.Release {
+				word += fmt.Sprint("/", s.Msg.Cause())
+			}
+			out = append(out, word)
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+func (r *rig) shut(conn Conn) bool {
+	for _, e := range r.out {
+		if s, is := e.(Shut); is && s.Conn == conn {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *rig) withdrawn(id uint64) (n int) {
+	for _, e := range r.out {
+		if w, is := e.(Withdraw); is && w.CallID == name(id) {
+			n++
+		}
+	}
+	return n
+}
+
+func answer(id uint64, status int, head ...string) *sip.Message {
+	m := &sip.Message{Status: status, CallID: name(id), Seq: 1, Of: sip.Invite, Body: []byte("made by the exchange"), Head: map[string][]string{}}
+	for i := 0; i < len(head); i += 2 {
+		m.Head[head[i]] = []string{head[i+1]}
+	}
+	return m
+}
+
+func bye_(id uint64, cause byte) *sip.Message {
+	return &sip.Message{Method: sip.Bye, CallID: name(id), Seq: 1, Of: sip.Bye, Head: map[string][]string{"Reason": {sip.Reason(cause)}}}
+}
+
+// stand sets a call up over exchange 1.
+func (r *rig) stand(conn Conn, id uint64) Link {
+	r.t.Helper()
+	r.call(conn, setUp(id, 1))
+	s, ok := r.sent(sip.Invite, id)
+	if !ok {
+		r.t.Fatal("no INVITE")
+	}
+	r.in(LinkSays{s.Link, answer(id, 200)})
+	if got := r.said(conn, id); got != "9" {
+		r.t.Fatalf("the caller was told %q, want an answer", got)
+	}
+	return s.Link
+}
+
+// direct sends each call to the exchange of its destination, once, or as often as it says.
+func direct(times int) *script {
+	s := &script{}
+	tried, calls := map[string]int{}, map[string]brain.Call{}
+	send := func(id string) []brain.Action {
+		tried[id]++
+		return []brain.Action{brain.Send{ID: id, Exchange: uint32(calls[id].Dest + 1), Timeout: time.Second}}
+	}
+	s.on = func(e brain.Event) []brain.Action {
+		switch e := e.(type) {
+		case brain.Call:
+			calls[e.ID] = e
+			return send(e.ID)
+		case brain.CallGone:
+			return []brain.Action{brain.Cancel{ID: e.ID, Attempt: tried[e.ID] - 1}}
+		case brain.Ended:
+			if e.Final {
+				return nil
+			}
+			if tried[e.ID] < times {
+				return send(e.ID)
+			}
+			return []brain.Action{brain.Refuse{ID: e.ID, Backoff: 1500 * time.Microsecond}}
+		}
+		return nil
+	}
+	return s
+}
