A call that ended before its answer came is over, not tried again: no release is lost

Trace of all four: the exchange holds its 200 up for longer than the call lasts and sends BYE with cause 16 first; cleared() (attempt.go) took that for a reset, the module tried again, and the second answer came to the caller instead of a release. Now a release with cause 16 before the answer ends the call: the caller is told, the module hears OK, final. Late answers get their ACK.

--- a/internal/interwork/attempt.go
+++ b/internal/interwork/attempt.go
@@ -64,6 +64,7 @@
 	t.link = l
 	l.open = append(l.open, t)
 	l.used = c.now
+	c.log(slog.LevelDebug, "set-up", "call", t.call.name, "nth", t.n, "exchange", t.peer.Name, "link", l.id, "within", t.notAfter-c.now)
 	c.do(Send{l.id, t.call.invite(t.notAfter - c.now), t.notAfter})
 }
 
@@ -174,6 +175,7 @@
 	}
 	c.ack(l, m)
 	x := t.call
+	c.log(slog.LevelDebug, "answer", "call", m.CallID, "status", m.Status, "link", l.id, "after", c.now-t.sent)
 	if m.Status >= 300 {
 		e := brain.Ended{Outcome: brain.Failed, Note: notes[m.Get("Fail-Word")], Report: c.state(l.peer, m)}
 		if o, ok := outcomes[m.Status]; ok {
@@ -208,14 +210,16 @@
 // late is an answer that nobody waits for: one to a set-up that was given up is ended in order.
 func (c *Core) late(l *link, id uint64, m *sip.Message) {
 	c.Stats.Late++
-	c.log(slog.LevelDebug, "late", "call", m.CallID, "status", m.Status, "seq", m.Seq, "link", l.id)
 	e, known := c.recent[id]
-	if !known || e.ghost != l.peer {
-		c.Stats.Stray++
+	x := c.calls[id]
+	c.log(slog.LevelDebug, "late", "call", m.CallID, "status", m.Status, "link", l.id, "known", known, "ghost", e.ghost != nil,
+		"ago", c.now-e.at, "open", x != nil && !x.standing, "standing", x != nil && x.standing)
+	if !known && x == nil {
+		c.Stats.Stray++ // answers what was never asked, or long ago
 		return
 	}
 	c.ack(l, m)
-	if x := c.calls[id]; m.Status < 300 && (x == nil || x.at != l.peer) {
+	if e.ghost == l.peer && m.Status < 300 && (x == nil || x.at != l.peer) {
 		c.bye(l, bye{id, m.CallID, isup.NormalClearing})
 	}
 }
@@ -231,9 +235,16 @@
 	if cause == isup.NormalClearing {
 		outcome = brain.OK
 	}
+	c.log(slog.LevelDebug, "release", "call", m.CallID, "exchange", p.Name, "cause", cause)
 	switch x, t := c.calls[id], c.tries[id]; {
 	case x != nil && x.standing && x.at == p:
 		c.over(x, outcome, cause, false)
+	case t != nil && t.peer == p && t.link != nil && outcome == brain.OK && t.call == x:
+		// it stood and came to its end while its answer was on the way: there is nothing to try again
+		c.conclude(t)
+		c.remember(id, ending{cause: cause})
+		c.answer(x, release(id, cause))
+		c.ended(t, brain.Ended{Outcome: brain.OK})
 	case t != nil && t.peer == p && t.link != nil:
 		c.conclude(t)
 		c.ended(t, brain.Ended{Outcome: brain.Reset})
@@ -246,6 +257,7 @@
 
 // over ends a call that stood. Its caller is told unless the word came from there.
 func (c *Core) over(x *call, o brain.Outcome, cause byte, told bool) {
+	c.log(slog.LevelDebug, "over", "call", x.name, "outcome", o, "cause", cause, "stood", c.now-x.stood, "conn", x.from.id, "gone", x.from.gone)
 	delete(c.calls, x.id)
 	if x.at != nil {
 		delete(x.at.calls, x.id)
--- a/internal/interwork/caller.go
+++ b/internal/interwork/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"slices"
 	"strconv"
 	"strings"
@@ -303,6 +304,7 @@
 	if x == nil {
 		return
 	}
+	c.log(slog.LevelDebug, "caller's release", "call", x.name, "standing", x.standing, "stood", c.now-x.stood, "out", x.try != nil, "cause", m.Cause())
 	if x.standing {
 		c.hangUp(x.at, x.id, x.name, isup.NormalClearing)
 		c.over(x, brain.Cancelled, isup.NormalClearing, true)
--- a/internal/interwork/core_test.go
+++ b/internal/interwork/core_test.go
@@ -453,3 +453,28 @@
 		t.Errorf("%d timers, %d calls remembered", n, len(r.c.recent))
 	}
 }
+
+// The answer may be held up for longer than the call lasts.
+func TestACallThatEndedBeforeItsAnswerCameIsOver(t *testing.T) {
+	mod := direct(2)
+	r := newRig(t, mod)
+	r.call(1, setUp(7, 1))
+	s, _ := r.sent(sip.Invite, 7)
+	r.in(LinkSays{s.Link, bye_(7, 16)})
+	r.in(LinkSays{s.Link, answer(7, 200)})
+	if r.count(sip.Ack, 7) != 1 || r.count(sip.Bye, 7) != 0 {
+		t.Errorf("the late answer: %d ACK, %d BYE", r.count(sip.Ack, 7), r.count(sip.Bye, 7))
+	}
+	if got := r.said(1, 7); got != "12/16" || r.count(sip.Invite, 7) != 1 {
+		t.Errorf("said %q after %d attempts", got, r.count(sip.Invite, 7))
+	}
+	if ends := mod.ends(); len(ends) != 1 || ends[0].Outcome != brain.OK || !ends[0].Final {
+		t.Errorf("the module was told %+v", ends)
+	}
+	r.call(1, setUp(8, 1))
+	s, _ = r.sent(sip.Invite, 8)
+	r.in(LinkSays{s.Link, bye_(8, 41)}) // as a reset
+	if r.said(1, 8) != "" || r.count(sip.Invite, 8) != 2 {
+		t.Errorf("said %q after %d attempts", r.said(1, 8), r.count(sip.Invite, 8))
+	}
+}
--- a/internal/interwork/module.go
+++ b/internal/interwork/module.go
@@ -79,5 +79,6 @@
 	x := t.call
 	e.ID, e.Attempt, e.Exchange, e.After = x.name, t.n, t.peer.id, c.now-t.sent
 	e.Final = c.calls[x.id] != x || x.standing
+	c.log(slog.LevelDebug, "ended", "call", x.name, "nth", t.n, "outcome", e.Outcome, "note", e.Note, "final", e.Final, "after", e.After)
 	c.feed(e)
 }
