--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,6 +109,7 @@
 	defer n.cancel()
 	n.log.Info("starting", "name", n.cfg.Name, "listen", n.cfg.Listen, "resolver", n.cfg.Resolver, "sockets", n.cfg.Sockets,
 		"memory", n.cfg.Memory, "exchanges", len(n.cfg.List.Entries()))
+	n.log.Debug("settings", "module", fmt.Sprintf("%+v", n.cfg.Module))
 	n.step(interwork.Listed{Complete: true, Changes: n.cfg.List.Entries()})
 	res := &resolver{n: n, list: n.cfg.List}
 	res.ask.Store(&n.cfg.Resolver)
