Where answers get lost by chance, windows stay open; rests follow the shortest aim

Trace of set-ups and ends by second and exchange: from 5 to 16 s a fifth of the set-ups of every pair stays out, all others answer in 25 to 60 ms; half of the calls waited for 'far end silent' or 'processor pressed'. Ruled out: slow processors (medians unchanged), connections (no reset, tests pass), the list, circuits (free nearly always). At fault in brain.go: stop() halved the window at each single loss; signs() took three losses in a row for silence, which at one loss in four comes every second or two; cut() rested up to 3.5 s although the platform's aims are 0.25 to 0.38 s.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,7 +45,7 @@
 	silentSigns  = 2                      // signs of silence in a row before a rest, or more
 	tardyShare   = 0.3                    // but not where slow answers are more than this to one lost
 	lossLeast    = 0.05                   // share of answers lost that shortens time-outs
-	silentChance = 0.02                   // if so many by chance are likelier than this
+	silentChance = 0.002                  // if so many by chance are likelier than this
 	busySigns    = 2                      // busy notes after which a number is gapped
 	busyFor      = 10 * time.Second       // and forgotten after so long without one
 	epsFor       = 2 * time.Second        // a hold-back share counts for so long
@@ -114,6 +114,7 @@
 	fullAt           time.Duration // when it last had less than the base reserve free
 	blocked          time.Duration // no set-up before
 	demand, circuits meter
+	heard, mute      meter         // as the controller's, of this way alone
 	classes          []share       // of own direct calls, by class
 	turned           map[int]*turn // by destination, as a tandem: what is known of its second leg
 
@@ -705,7 +706,7 @@
 		win /= 2
 	}
 	if k.now < f.blocked || f.pend > 0 && float64(f.pend+1) > win {
-		if f.silent >= k.signs() {
+		if f.silent >= k.signs(f) {
 			return WaitDead, ScopeFar // one that is out is a trial
 		}
 		return WaitPress, ScopeFar
@@ -807,13 +808,18 @@
 	if alt {
 		soon += waitLeast // a tandem may wait for a circuit
 	}
-	if k.muteShare() < lossLeast || k.tardy.rate(k.now, 0) > tardyShare*k.mute.rate(k.now, 0) ||
-		k.press > altPressure || c.leg.lat > altPressure || soon+k.set.ReleaseWait+k.target() > left {
+	if !k.lossy(c.leg) || soon+k.set.ReleaseWait+k.target() > left {
 		return left
 	}
 	return soon
 }
 
+// lossy tells whether answers of late got lost, on the way to a far end among others, and are not slow.
+func (k *Controller) lossy(f *far) bool {
+	return k.muteShare() >= lossLeast && k.tardy.rate(k.now, 0) <= tardyShare*k.mute.rate(k.now, 0) &&
+		k.press <= altPressure && f.lat <= altPressure
+}
+
 // release takes the call out of the counts.
 func (k *Controller) release(c *call) {
 	f := c.leg
@@ -835,6 +841,7 @@
 // answered books the end of the wait for an answer.
 func (k *Controller) answered(c *call) *busy {
 	k.heard.add(k.now, 1)
+	c.leg.heard.add(k.now, 1)
 	c.leg.pend--
 	if c.own {
 		k.pend--
@@ -903,14 +910,17 @@
 	}
 	f.cutAt = k.now
 	if f.win = max(f.win*by, min(least, f.win)); f.win < 1 {
-		f.blocked = max(f.blocked, k.now+time.Duration((1/f.win-1)*float64(rest)))
+		f.blocked = max(f.blocked, k.now+time.Duration((1/f.win-1)*float64(min(rest, k.leastAim/2))))
 	}
 }
 
 // signs tells how many losses in a row speak for a far end that is silent: more, the larger
-// the share of all answers that is lost, since then as many come by chance.
-func (k *Controller) signs() int {
-	return max(silentSigns, 1+int(math.Log(silentChance)/math.Log(min(max(k.muteShare(), 1e-9), 0.5))))
+// the share of answers that is lost on the other ways, since then as many come by chance.
+func (k *Controller) signs(f *far) int {
+	heard := k.heard.rate(k.now, k.born) - f.heard.rate(k.now, k.born)
+	mute := k.mute.rate(k.now, k.born) - f.mute.rate(k.now, k.born)
+	share := min(max(mute/(max(heard, 0)+1), 1e-9), 0.5)
+	return max(silentSigns, 1+int(math.Log(silentChance)/math.Log(share)))
 }
 
 // muteShare is the share of set-ups that found silence of late; few tell little.
@@ -919,11 +929,14 @@
 }
 
 // stop narrows the window to a far end that is silent or refuses, to rests from the second
-// sign in a row. One sign alone does little: a set-up may be lost on the way.
-func (k *Controller) stop(f *far, sent time.Duration) {
+// sign in a row. One sign alone does little, and nothing where losses are common: a set-up may
+// be lost on the way. It harms a far end that is pressed and loses what it can't serve at once.
+func (k *Controller) stop(f *far, sent time.Duration, lossy bool) {
 	least := 1.0
-	if f.silent++; f.silent >= k.signs() {
+	if f.silent++; f.silent >= k.signs(f) {
 		f.win, least = min(f.win, 1), windowLeast
+	} else if lossy {
+		return
 	}
 	k.cut(f, windowHalve, least, sent)
 }
@@ -941,6 +954,7 @@
 		b := k.answered(c)
 		if e.Outcome == TimedOut {
 			k.mute.add(k.now, 1)
+			f.mute.add(k.now, 1)
 		}
 		if e.Outcome == Failed && e.Note == LinesBusy {
 			k.busyNote(c.Number, b)
@@ -953,7 +967,7 @@
 		return
 	}
 	c.state = waiting
-	if d := k.cells[c.Dest]; c.alt && d != nil && d.silent >= k.signs() && e.Outcome != Moot {
+	if d := k.cells[c.Dest]; c.alt && d != nil && d.silent >= k.signs(d) && e.Outcome != Moot {
 		d.turnBack(c.Dest, k.now)
 	}
 	switch e.Outcome {
@@ -964,11 +978,11 @@
 		if c.alt && !k.set.Pools && e.Outcome != NoConnect {
 			f.turnBack(c.Dest, k.now) // what lies behind the tandem may be silent
 		} else if e.Outcome == TimedOut || e.Outcome == NoConnect {
-			k.stop(f, e.After) // a reset is an answer
+			k.stop(f, e.After, k.lossy(f)) // a reset is an answer
 		}
 	case Full:
 		if e.Note == ProcFull {
-			k.stop(f, e.After)
+			k.stop(f, e.After, false)
 			f.blocked = max(f.blocked, k.now+e.Wait)
 			break
 		}
--- a/brain/design_test.go
+++ b/brain/design_test.go
@@ -555,9 +555,50 @@
 	if got := timeout(3); got > time.Second {
 		t.Fatalf("time-out %v where one answer of three is lost", got)
 	}
-	if n := r.k.signs(); n <= silentSigns {
+	f := r.k.cells[1]
+	if n := r.k.signs(f); n <= silentSigns+1 {
 		t.Fatalf("%d losses in a row close a way where one answer of three is lost", n)
 	}
+	win := f.win
+	if r.k.stop(f, 0, r.k.lossy(f)); f.win != win {
+		t.Fatalf("one loss among many narrows the window from %v to %v", win, f.win)
+	}
+}
+
+// What a way alone loses must not excuse it: the others tell what comes by chance.
+func TestASilentWayIsFoundWhereTheOthersAnswer(t *testing.T) {
+	r := newRig(t, settings(), 4)
+	f := r.k.cells[1]
+	for range 50 {
+		r.k.heard.add(r.k.now, 2)
+		f.heard.add(r.k.now, 1)
+		f.mute.add(r.k.now, 1)
+		r.k.mute.add(r.k.now, 1)
+	}
+	if n := r.k.signs(f); n != silentSigns {
+		t.Fatalf("%d losses in a row close a way that lost half of all answers, the others none", n)
+	}
+	if n := r.k.signs(r.k.cells[2]); n <= silentSigns {
+		t.Fatalf("%d losses in a row close another way", n)
+	}
+}
+
+// Rests between single set-ups are as long as callers can bear, whatever the scale of the site.
+func TestRestsFollowTheShortestAim(t *testing.T) {
+	rests := func(aim time.Duration) time.Duration {
+		set := settings()
+		for i := range set.Classes {
+			set.Classes[i].Aim = aim
+		}
+		r := newRig(t, set, 3)
+		f := r.k.cells[1]
+		f.win = 0.5
+		r.k.cut(f, 0.5, windowLeast, 0)
+		return f.blocked - r.k.now
+	}
+	if a, b := rests(2*time.Second), rests(250*time.Millisecond); a != 3*rest || b != 3*125*time.Millisecond {
+		t.Fatalf("rests of %v and %v at aims of 2 s and 250 ms, want %v and 375 ms", a, b, 3*rest)
+	}
 }
 
 // One set-up each from dozens of senders jams a slow processor: where more share it, the
--- a/internal/interwork/interwork.go
+++ b/internal/interwork/interwork.go
@@ -151,6 +151,7 @@
 	Links    int           // connections to one exchange, at the most
 	Conns    int           // callers' connections, at the most
 	PerConn  int           // set-ups open on one of them, at the most
+	Debug    bool          // each verdict is logged, not only those that the module names
 	Calls    int           // calls open and standing, at the most
 }
 
--- a/internal/interwork/module.go
+++ b/internal/interwork/module.go
@@ -56,8 +56,12 @@
 	case brain.Wake:
 		c.timers.Set(c.now+a.After, timer{token: a.Token})
 	case brain.Verdict:
+		level := slog.LevelDebug
 		if a.Log {
-			c.log(slog.LevelInfo, "verdict", "call", a.ID, "reason", a.Reason, "scope", a.Scope, "cell", a.Cell, "nth", a.Nth)
+			level = slog.LevelInfo
+		}
+		if c.cfg.Debug || a.Log {
+			c.log(level, "verdict", "call", a.ID, "reason", a.Reason, "scope", a.Scope, "cell", a.Cell, "nth", a.Nth)
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,7 +97,8 @@
 	n.most = int64(callers + callers/8) // while the core makes room
 	n.core = interwork.New(interwork.Config{Module: policy.New("brain", cfg.Module), Settings: cfg.Module,
 		Connect: cfg.Connect, Epoch: n.start.Add(-clockStart).UnixNano(), Links: links, Conns: callers,
-		PerConn: perConnMost, Calls: callsMost}, n.now())
+		PerConn: perConnMost, Calls: callsMost,
+		Debug: log.Enabled(n.ctx, slog.LevelDebug)}, n.now())
 	return n
 }
 
