--- a/internal/sip/sip.go
+++ b/internal/sip/sip.go
@@ -117,13 +117,16 @@
 	r.begun(true)
 	defer r.begun(false)
 	m, err := r.message()
-	if err != nil && r.limit.N <= 0 && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) {
+	if err == nil {
+		return m, nil
+	}
+	if r.limit.N <= 0 && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) {
 		return nil, fmt.Errorf("%w: over %d bytes", ErrSyntax, Most)
 	}
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
-	return m, err
+	return nil, err
 }
 
 func (r *Reader) message() (*Message, error) {
@@ -161,8 +164,23 @@
 	}
 	m.Head = head
 	m.Body = make([]byte, n)
-	_, err = io.ReadFull(r.r, m.Body)
-	return m, err
+	if _, err = io.ReadFull(r.r, m.Body); err != nil {
+		return nil, err
+	}
+	return m, r.fits()
+}
+
+// fits tells whether what has come behind a message may open another: if not, the message's length
+// does not fit it, and its body is not what was meant.
+func (r *Reader) fits() error {
+	if r.r.Buffered() == 0 {
+		return nil
+	}
+	next, _ := r.r.Peek(1) // it is there
+	if next[0] < 'A' || next[0] > 'Z' {
+		return fmt.Errorf("%w: %d bytes that open no message behind a body of Content-Length", ErrSyntax, r.r.Buffered())
+	}
+	return nil
 }
 
 func (m *Message) first(line string) error {
--- a/internal/sip/sip_test.go
+++ b/internal/sip/sip_test.go
@@ -56,6 +56,7 @@
 		"a status of letters":    strings.Replace(okAnswer, "200", "2OO", 1),
 		"a status out of range":  strings.Replace(okAnswer, "200", "999", 1),
 		"no CSeq":                strings.Replace(okAnswer, "CSeq: 1 INVITE\r\n", "", 1),
+		"a length that is short": strings.Replace(okAnswer, "Length: 6", "Length: 3", 1),
 		"a header without name":  strings.Replace(okAnswer, "Via: ", "", 1),
 	} {
 		if _, err := NewReader(strings.NewReader(wire), nil).Read(); !errors.Is(err, ErrSyntax) {
