Answers of the resolver from before a start are overruled by four later ones in a row

Log of the list: restarted at 18.8 s with known at number 1, at 10 a moment later, then every good answer (1, 2, 3) refused as older until 53 s. An answer kept from before the start carries the number of that life. At fault: List.Answer (srvlist.go), which took any number over its own for good. Now four older answers in a row, none older than the one before and no good one between, are believed. The list's fold has the case as a test.

--- a/internal/srvlist/srvlist.go
+++ b/internal/srvlist/srvlist.go
@@ -35,8 +35,14 @@
 type List struct {
 	serial  uint64
 	entries []Entry // by name; none that are gone
+	older   int     // answers in a row that were older, none of them than the one before
+	last    uint64  // the number of the last of them
 }
 
+// overruled is how many such answers speak against the number held. Numbers begin anew with each
+// start of a controller; an answer of before, kept somewhere on the way, carries a high one.
+const overruled = 4
+
 // Serial is the number of the last event that the list holds.
 func (l *List) Serial() uint64 { return l.serial }
 
@@ -141,16 +147,22 @@
 	if !found {
 		return nil, errors.New("resolver's answer: no serial")
 	}
+	list, err := entries(&m)
+	if err != nil {
+		return nil, fmt.Errorf("resolver's answer: %w", err)
+	}
 	if serial < l.serial {
-		return nil, fmt.Errorf("resolver's answer: %w: %d after %d", ErrOld, serial, l.serial)
+		if l.older++; serial < l.last {
+			l.older = 1
+		}
+		if l.last = serial; l.older < overruled {
+			return nil, fmt.Errorf("resolver's answer: %w: %d after %d", ErrOld, serial, l.serial)
+		}
 	}
+	l.older, l.last = 0, 0
 	if serial == l.serial {
 		return nil, nil
 	}
-	list, err := entries(&m)
-	if err != nil {
-		return nil, fmt.Errorf("resolver's answer: %w", err)
-	}
 	var changes []Entry
 	for _, old := range l.Entries() {
 		if !slices.ContainsFunc(list, func(e Entry) bool { return e.Name == old.Name }) {
--- a/internal/srvlist/srvlist_test.go
+++ b/internal/srvlist/srvlist_test.go
@@ -118,6 +118,34 @@
 	}
 }
 
+// After a start numbers begin anew; an answer of before the start carries a high one.
+func TestAnAnswerOfBeforeTheStartIsOverruled(t *testing.T) {
+	l := list(t)
+	gone := a
+	gone.State = brain.Out
+	if _, err := l.Answer(5, packet(t, 5, 900, nil, a, b)); err != nil || l.Serial() != 900 {
+		t.Fatalf("at %d, %v", l.Serial(), err)
+	}
+	for n, serial := range []uint32{43, 42, 42, 43} { // one that is older still begins the row anew
+		if _, err := l.Answer(5, packet(t, 5, serial, nil, b)); !errors.Is(err, ErrOld) {
+			t.Fatalf("answer %d: %v", n, err)
+		}
+	}
+	got, err := l.Answer(5, packet(t, 5, 44, nil, b))
+	if err != nil || !reflect.DeepEqual(got, []Entry{gone}) || l.Serial() != 44 {
+		t.Fatalf("%+v at %d, %v", got, l.Serial(), err)
+	}
+	// where good answers come between, older ones change nothing however many they are
+	for range 3 * overruled {
+		if _, err := l.Answer(5, packet(t, 5, 40, nil, a)); !errors.Is(err, ErrOld) {
+			t.Fatal(err)
+		}
+		if _, err := l.Answer(5, packet(t, 5, 44, nil, b)); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 func FuzzAnswer(f *testing.F) {
 	f.Add(packet(f, 5, 43, nil, a, b))
 	f.Add(packet(f, 5, 40, nil, a))
