--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -323,6 +323,62 @@
 	b.x.await(sip.Ack)
 }
 
+func TestACallThatTandemsTurnBackIsRefusedAfterFewAttempts(t *testing.T) {
+	b := newBed(t)
+	p := b.ready()
+	p.call(7, "1500")
+	heard := make(chan *isup.Message, 1)
+	go func() {
+		m, _ := p.r.Read()
+		heard <- m
+	}()
+	for n := 0; ; {
+		select {
+		case g := <-b.x.got:
+			if g.m.Method == sip.Invite {
+				n++
+				b.x.say(g.nc, g.m, 503, "Fail-Word: rtb\r\n")
+			}
+		case m := <-heard:
+			if m == nil || m.Type != isup.Release || m.Cause() != isup.Congestion || n < 1 || n > 6 {
+				t.Fatalf("heard %+v after %d attempts", m, n)
+			}
+			return
+		}
+	}
+}
+
+// starved is a listener that is out of descriptors for some time.
+type starved struct {
+	net.Listener
+	times int
+}
+
+func (s *starved) Accept() (net.Conn, error) {
+	if s.times > 0 {
+		s.times--
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return s.Listener.Accept()
+}
+
+func TestRunningOutOfDescriptorsDoesNotStopAccepting(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := newExchange(t)
+	cfg, err := parse(fmt.Appendf(nil, platform, "127.0.0.1:9", x.ln.Addr()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bed{t: t, x: x, addr: ln.Addr().String(), term: make(chan os.Signal, 1), ended: make(chan error, 1)}
+	n := newNode(cfg, &starved{ln, 5}, slog.New(slog.DiscardHandler))
+	go func() { b.ended <- n.run(nil, b.term, nil) }()
+	t.Cleanup(b.leave)
+	b.ready()
+}
+
 func TestAGiveUpThatCrossesTheAnswer(t *testing.T) {
 	b := newBed(t)
 	p := b.ready()
