Review: one feeder for both cores, state derived, what is shed is counted

Written twice: feeding the module (controller, interwork) is policy.Feed now; controller.Module was policy.Module. Derived: cells from the listed exchanges, a call's attempt from the table of tries. Dropped: a field that nobody read, unused causes. Mended: links counted while their tests changed them; a connection accepted, or made, at the very end had no owner (goleak over the node's tests now); connections turned away at accept and hang-ups past their bound had no counter that was told; refusals at the edge name a time to come back where settings allow; transit and again take 0 and 1 only.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -21,6 +21,7 @@
 	"dahliaspindle/internal/flow"
 	"dahliaspindle/internal/guard"
 	"dahliaspindle/internal/measure"
+	"dahliaspindle/internal/policy"
 	"dahliaspindle/internal/signal"
 	"dahliaspindle/internal/wheel"
 )
@@ -97,14 +98,9 @@
 	Left              // all is answered after Leave
 )
 
-// Module is what decides: brain.Controller, or a rule that it is held against.
-type Module interface {
-	Handle(now time.Duration, e brain.Event) []brain.Action
-}
-
 // Config is what a controller starts with.
 type Config struct {
-	Module       Module
+	Module       policy.Module // what decides: brain.Controller, or a rule that it is held against
 	Classes      []brain.Class
 	Self         int           // number of the own exchange
 	Number       int           // number of this controller
@@ -147,8 +143,7 @@
 	context  uint32
 	leaving  bool
 	left     bool
-	feedQ    []brain.Event
-	feeding  bool
+	module   policy.Feed
 	waited   []*call // that the module made wait just now
 	out      []Effect
 	stats    Stats
@@ -159,7 +154,7 @@
 
 // New starts a controller at a time. The first effects come with the first input.
 func New(now time.Duration, cfg Config) *Controller {
-	c := &Controller{cfg: cfg, now: now, classes: map[string]int{}, timers: wheel.New[timer](now),
+	c := &Controller{cfg: cfg, module: policy.Feed{Module: cfg.Module}, now: now, classes: map[string]int{}, timers: wheel.New[timer](now),
 		callers: map[uint64]*caller{}, calls: map[string]*call{}, links: map[uint64]*link{},
 		cells: map[int]uint64{}, circuits: map[int]brain.Circuits{}}
 	for i, cl := range cfg.Classes {
--- a/internal/controller/core_test.go
+++ b/internal/controller/core_test.go
@@ -9,6 +9,7 @@
 	"dahliaspindle/brain"
 	"dahliaspindle/internal/guard"
 	"dahliaspindle/internal/measure"
+	"dahliaspindle/internal/policy"
 	"dahliaspindle/internal/signal"
 )
 
@@ -64,7 +65,7 @@
 var testClasses = []brain.Class{{Name: "fetch", Worth: 1, Aim: time.Second, GiveUp: 9 * time.Second, Holding: 10 * time.Second, Width: 1},
 	{Name: "wide", Worth: 2, Aim: time.Second, GiveUp: 9 * time.Second, Holding: 10 * time.Second, Width: 2}}
 
-func newRig(t fataler, m Module) *rig {
+func newRig(t fataler, m policy.Module) *rig {
 	r := &rig{t: t, now: time.Hour, tx: map[Peer]uint32{}}
 	r.c = New(r.now, Config{Module: m, Classes: testClasses, Self: 0,
 		MostCalls: 50000, MostPerPeer: 10000, MostRoutes: 1000, Connect: 300 * time.Millisecond, StandingLeft: 2 * time.Second,
--- a/internal/controller/module.go
+++ b/internal/controller/module.go
@@ -11,22 +11,11 @@
 	"dahliaspindle/internal/signal"
 )
 
-// feed hands an event to the module and carries out what it asks for. Events
-// that its own actions bring about wait their turn.
+// feed hands an event to the module and carries out what it asks for.
 func (c *Controller) feed(e brain.Event) {
-	c.feedQ = append(c.feedQ, e)
-	if c.feeding {
+	if !c.module.Give(c.now, e, c.act) {
 		return
 	}
-	c.feeding = true
-	for len(c.feedQ) > 0 {
-		e := c.feedQ[0]
-		c.feedQ = c.feedQ[1:]
-		for _, a := range c.cfg.Module.Handle(c.now, e) {
-			c.act(a)
-		}
-	}
-	c.feedQ, c.feeding = nil, false
 	for _, k := range c.waited {
 		if k.state == open && k.att == nil && !k.pended && k.from != nil {
 			k.pended = true
--- a/internal/interwork/attempt.go
+++ b/internal/interwork/attempt.go
@@ -28,7 +28,6 @@
 	p := c.ids[a.Exchange]
 	t := &attempt{call: x, n: x.attempts, peer: p, sent: c.now, notAfter: c.now + a.Timeout}
 	x.attempts++
-	x.try = t
 	c.tries[x.id] = t
 	c.Stats.Attempts++
 	if p == nil || p.State != brain.In {
@@ -71,9 +70,6 @@
 // conclude takes an attempt out of all that holds it.
 func (c *Core) conclude(t *attempt) {
 	c.timers.Stop(t.timer)
-	if t.call.try == t {
-		t.call.try = nil
-	}
 	if c.tries[t.call.id] == t {
 		delete(c.tries, t.call.id)
 	}
@@ -262,17 +258,17 @@
 	if x.at != nil {
 		delete(x.at.calls, x.id)
 	}
-	said := told
 	x.from.standing--
 	x.from.since = c.now
-	if !told && !x.from.gone {
-		said = true
+	switch {
+	case told:
+	case !x.from.gone:
 		c.do(Say{x.from.id, release(x.id, cause)})
-	}
-	if !said {
+	default:
+		c.Stats.Unsaid++
 		c.log(slog.LevelInfo, "call over, its caller's connection gone", "call", x.name)
 	}
-	c.remember(x.id, ending{cause: cause, said: said})
+	c.remember(x.id, ending{cause: cause})
 	if x.adopted {
 		return
 	}
--- a/internal/interwork/caller.go
+++ b/internal/interwork/caller.go
@@ -30,8 +30,7 @@
 	number   string
 	desc     []byte
 	attempts int
-	try      *attempt // out
-	at       *peer    // where it stands
+	at       *peer // where it stands
 	standing bool
 	adopted  bool
 	stood    time.Duration
@@ -141,6 +140,24 @@
 	return (&isup.Message{Type: isup.Release, Call: id}).With(isup.Cause, []byte{cause})
 }
 
+// refusal is a release that says that trying again is harmless, and when.
+func refusal(id uint64, backoff time.Duration) *isup.Message {
+	m := release(id, isup.Congestion)
+	if backoff > 0 {
+		m.With(isup.StayAway, strconv.AppendInt(nil, int64((backoff+time.Millisecond-1)/time.Millisecond), 10))
+	}
+	return m
+}
+
+// turnAway refuses a set-up that is not taken.
+func (c *Core) turnAway(k *caller, id uint64) {
+	backoff := time.Duration(0)
+	if c.cfg.Settings.Backoff {
+		backoff = c.cfg.Settings.BackoffMax
+	}
+	c.do(Say{k.id, refusal(id, backoff)})
+}
+
 // request is a set-up that was read.
 type request struct {
 	brain.Call
@@ -212,9 +229,12 @@
 		case "again":
 			r.Again = n == 1
 		}
+		if (name == "transit" || name == "again") && n != 0 && n != 1 {
+			return fmt.Errorf("figure %.20q out of range in %.80q", name, text)
+		}
 	}
 	switch {
-	case !dest || !c.cells[r.Dest] || r.Dest == c.cfg.Settings.Self && !c.cfg.Settings.Pools:
+	case !dest || !c.listsCell(r.Dest) || r.Dest == c.cfg.Settings.Self && !c.cfg.Settings.Pools:
 		return fmt.Errorf("no such destination in %.80q", text)
 	case !width || r.Width < 1 || r.Width > c.widest:
 		return fmt.Errorf("width out of range in %.80q", text)
@@ -239,7 +259,7 @@
 		return
 	case have != nil:
 		c.Stats.Invalid++
-		c.do(Say{k.id, release(id, isup.Congestion)})
+		c.turnAway(k, id)
 		return
 	case err != nil:
 		c.Stats.Invalid++
@@ -247,7 +267,7 @@
 		return
 	case c.closed, k.open >= c.cfg.PerConn, len(c.calls) >= c.cfg.Calls:
 		c.Stats.Refused++
-		c.do(Say{k.id, release(id, isup.Congestion)})
+		c.turnAway(k, id)
 		return
 	}
 	x := &call{id: id, name: fmt.Sprintf("%016x", id), from: k, class: r.class, number: r.number, desc: r.desc}
@@ -304,7 +324,7 @@
 	if x == nil {
 		return
 	}
-	c.log(slog.LevelDebug, "caller's release", "call", x.name, "standing", x.standing, "stood", c.now-x.stood, "out", x.try != nil, "cause", m.Cause())
+	c.log(slog.LevelDebug, "caller's release", "call", x.name, "standing", x.standing, "stood", c.now-x.stood, "out", c.tries[x.id] != nil, "cause", m.Cause())
 	if x.standing {
 		c.hangUp(x.at, x.id, x.name, isup.NormalClearing)
 		c.over(x, brain.Cancelled, isup.NormalClearing, true)
@@ -321,10 +341,9 @@
 	c.Stats.Gone++
 	c.closeOpen(x)
 	c.feed(brain.CallGone{ID: x.name})
-	if x.try != nil { // where the module may not cancel
-		c.withdraw(x.try, brain.Cancelled)
+	if t := c.tries[x.id]; t != nil { // where the module may not cancel
+		c.withdraw(t, brain.Cancelled)
 	}
-	c.forget(x)
 }
 
 // closeOpen takes a call out of those that are owed an answer.
@@ -335,17 +354,11 @@
 	delete(c.calls, x.id)
 }
 
-func (c *Core) forget(x *call) {
-	if c.calls[x.id] == x {
-		delete(c.calls, x.id)
-	}
-}
-
 // answer gives the final answer to an open set-up.
 func (c *Core) answer(x *call, m *isup.Message) {
 	c.closeOpen(x)
-	if x.try != nil {
-		c.withdraw(x.try, brain.TimedOut) // before the answer is said: nothing is sent after it
+	if t := c.tries[x.id]; t != nil {
+		c.withdraw(t, brain.TimedOut) // before the answer is said: nothing is sent after it
 	}
 	c.do(Say{x.from.id, m})
 }
--- a/internal/interwork/core_test.go
+++ b/internal/interwork/core_test.go
@@ -26,8 +26,8 @@
 		t.Error("a second copy of the answer ended the call")
 	}
 	other := r.c.names["s-1"].links[1].id
-	r.in(LinkSays{other, bye_(7, 16)})
-	r.in(LinkSays{l, bye_(7, 16)})
+	r.in(LinkSays{other, byeOf(7, 16)})
+	r.in(LinkSays{l, byeOf(7, 16)})
 	if got := r.said(1, 7); got != "9 12/16" {
 		t.Errorf("the caller was told %q", got)
 	}
@@ -51,10 +51,7 @@
 		{500, nil, brain.Ended{Outcome: brain.Failed}},
 		{504, nil, brain.Ended{Outcome: brain.Reset}},
 	} {
-		mod := direct(1)
-		r := newRig(t, mod)
-		r.call(1, setUp(7, 1))
-		s, _ := r.sent(sip.Invite, 7)
+		mod, r, s := ringing(t, 1)
 		r.in(LinkSays{s.Link, answer(7, c.status, c.head...)})
 		ends := mod.ends()
 		if len(ends) != 1 || ends[0].Outcome != c.want.Outcome || ends[0].Note != c.want.Note || ends[0].Wait != c.want.Wait || ends[0].Final {
@@ -86,10 +83,7 @@
 // Exchanges answer with CSeq 1 whatever the set-up's was: with numbers a further attempt's answers
 // were taken for late ones.
 func TestAFurtherAttemptIsAnswered(t *testing.T) {
-	mod := direct(2)
-	r := newRig(t, mod)
-	r.call(1, setUp(7, 1))
-	first, _ := r.sent(sip.Invite, 7)
+	_, r, first := ringing(t, 2)
 	r.in(LinkSays{first.Link, answer(7, 480, "Fail-Word", "atb")})
 	second, _ := r.sent(sip.Invite, 7)
 	if r.count(sip.Invite, 7) != 2 || second.Msg.Seq != 1 {
@@ -102,10 +96,7 @@
 }
 
 func TestALateAnswerIsHungUpAndTheFurtherAttemptIsNotTakenForIt(t *testing.T) {
-	mod := direct(2)
-	r := newRig(t, mod)
-	r.call(1, setUp(7, 1))
-	first, _ := r.sent(sip.Invite, 7)
+	mod, r, first := ringing(t, 2)
 	r.pass(time.Second)
 	if ends := mod.ends(); len(ends) != 1 || ends[0].Outcome != brain.TimedOut {
 		t.Fatalf("ends %+v", ends)
@@ -125,10 +116,7 @@
 }
 
 func TestAGivenUpSetUpIsCancelledAndNotAnswered(t *testing.T) {
-	mod := direct(1)
-	r := newRig(t, mod)
-	r.call(1, setUp(7, 1))
-	s, _ := r.sent(sip.Invite, 7)
+	mod, r, s := ringing(t, 1)
 	r.call(1, release(7, 16))
 	r.in(LinkSays{s.Link, answer(7, 200)})
 	if r.said(1, 7) != "" || r.withdrawn(7) != 1 || r.count(sip.Ack, 7) != 1 || r.count(sip.Bye, 7) != 1 {
@@ -148,27 +136,22 @@
 	mod := direct(1)
 	r := newRig(t, mod)
 	r.call(1, setUp(7, 1))
-	for i, m := range []*isup.Message{
+	for _, m := range []*isup.Message{
 		change(setUp(100, 1), isup.Class, "nobody"), change(setUp(101, 1), isup.Patience, "-5"),
 		change(setUp(102, 1), isup.Patience, "NaN"), change(setUp(103, 1), isup.Number, "7f3a9c21e0b4d65"),
 		change(setUp(104, 1), isup.Number, "7f3a9c21 HTTP/1"), change(setUp(105, 1), isup.Figures, "dest:9;width:1;via:-1"),
 		change(setUp(106, 1), isup.Figures, "dest:0;width:1;via:-1"), change(setUp(107, 1), isup.Figures, "dest:1;width:0;via:-1"),
 		change(setUp(108, 1), isup.Figures, "dest:1;width:3;via:-1"), change(setUp(109, 1), isup.Figures, "dest:1;width:1e9;via:-1"),
 		change(setUp(110, 1), isup.Figures, "dest:1;width:1;via:-2"), change(setUp(111, 1), isup.Figures, "nonsense"),
-		change(setUp(112, 1), isup.Figures, ""), change(setUp(113, 1), isup.Retry, "x"), {Type: isup.SetUp, Call: 114},
+		change(setUp(112, 1), isup.Figures, ""), setUp(113, 1).With(isup.Retry, []byte("x")),
+		change(setUp(116, 1), isup.Figures, "dest:1;width:1;via:2;transit:7"), {Type: isup.SetUp, Call: 114},
 		change(setUp(115, 1), isup.Description, string(make([]byte, sip.Most-100))),
 	} {
-		if i != 13 { // retry is not among the parameters there
-			r.call(2, m)
-			if got := r.said(2, m.Call); got != "12/100" {
-				t.Errorf("set-up %d was told %q", m.Call, got)
-			}
+		r.call(2, m)
+		if got := r.said(2, m.Call); got != "12/100" {
+			t.Errorf("set-up %d was told %q", m.Call, got)
 		}
 	}
-	r.call(2, setUp(113, 1).With(isup.Retry, []byte("x")))
-	if got := r.said(2, 113); got != "12/100" {
-		t.Errorf("set-up 113 was told %q", got)
-	}
 	r.call(2, setUp(7, 1)) // the id of another's open call
 	if got := r.said(2, 7); got != "12/42" {
 		t.Errorf("a second set-up of an open id was told %q", got)
@@ -206,7 +189,7 @@
 	if r.said(1, 7)+r.said(2, 7) != "" || r.count(sip.Invite, 7) != 0 || r.c.Stats.Adopted != 1 {
 		t.Fatalf("said %q and %q", r.said(1, 7), r.said(2, 7))
 	}
-	r.in(LinkSays{r.link(1), bye_(7, 41)})
+	r.in(LinkSays{r.link(1), byeOf(7, 41)})
 	if r.said(2, 7) != "12/41" || r.said(1, 7) != "" {
 		t.Errorf("said %q and %q", r.said(1, 7), r.said(2, 7))
 	}
@@ -230,7 +213,7 @@
 		t.Fatal("the call ended with a connection")
 	}
 	r.call(2, change(setUp(7, 1), isup.Figures, "dest:1;width:1;via:-1;at:s-1"))
-	r.in(LinkSays{r.link(1), bye_(7, 16)})
+	r.in(LinkSays{r.link(1), byeOf(7, 16)})
 	if got := r.said(2, 7); got != "12/16" {
 		t.Errorf("said %q", got)
 	}
@@ -247,10 +230,7 @@
 }
 
 func TestABrokenLinkIsUnclearAndOneThatNeverStoodIsNot(t *testing.T) {
-	mod := direct(1)
-	r := newRig(t, mod)
-	r.call(1, setUp(7, 1))
-	s, _ := r.sent(sip.Invite, 7)
+	mod, r, s := ringing(t, 1)
 	r.in(LinkDown{Link: s.Link})
 	if ends := mod.ends(); len(ends) != 1 || ends[0].Outcome != brain.Reset {
 		t.Fatalf("ends %+v", ends)
@@ -412,9 +392,9 @@
 // Nothing that the core holds may grow with what has come and gone.
 func TestTablesGoBackToNothing(t *testing.T) {
 	r := newRig(t, nil)
-	size := func() [8]int {
+	size := func() [7]int {
 		c := r.c
-		return [8]int{len(c.calls), len(c.tries), len(c.callers), len(c.order), len(c.peers), len(c.names), len(c.ids), len(c.cells)}
+		return [7]int{len(c.calls), len(c.tries), len(c.callers), len(c.order), len(c.peers), len(c.names), len(c.ids)}
 	}
 	r.in(CallerDown{1})
 	r.in(CallerDown{2})
@@ -433,7 +413,7 @@
 			r.call(conn, setUp(id, 1+int(id)%3))
 			if s, ok := r.sent(sip.Invite, id); ok && id%3 > 0 {
 				r.in(LinkSays{s.Link, answer(id, 200)})
-				r.in(LinkSays{s.Link, bye_(id, 16)})
+				r.in(LinkSays{s.Link, byeOf(id, 16)})
 			}
 		}
 		r.out = nil
@@ -456,11 +436,8 @@
 
 // The answer may be held up for longer than the call lasts.
 func TestACallThatEndedBeforeItsAnswerCameIsOver(t *testing.T) {
-	mod := direct(2)
-	r := newRig(t, mod)
-	r.call(1, setUp(7, 1))
-	s, _ := r.sent(sip.Invite, 7)
-	r.in(LinkSays{s.Link, bye_(7, 16)})
+	mod, r, s := ringing(t, 2)
+	r.in(LinkSays{s.Link, byeOf(7, 16)})
 	r.in(LinkSays{s.Link, answer(7, 200)})
 	if r.count(sip.Ack, 7) != 1 || r.count(sip.Bye, 7) != 0 {
 		t.Errorf("the late answer: %d ACK, %d BYE", r.count(sip.Ack, 7), r.count(sip.Bye, 7))
@@ -473,7 +450,7 @@
 	}
 	r.call(1, setUp(8, 1))
 	s, _ = r.sent(sip.Invite, 8)
-	r.in(LinkSays{s.Link, bye_(8, 41)}) // as a reset
+	r.in(LinkSays{s.Link, byeOf(8, 41)}) // as a reset
 	if r.said(1, 8) != "" || r.count(sip.Invite, 8) != 2 {
 		t.Errorf("said %q after %d attempts", r.said(1, 8), r.count(sip.Invite, 8))
 	}
--- a/internal/interwork/interwork.go
+++ b/internal/interwork/interwork.go
@@ -179,6 +179,7 @@
 	Calls, Answered, Refused, Failed, Gone, Invalid, Again, Adopted    int
 	Attempts, Resets, TimedOut, NoConnect, Late, Stray, Cut, Forgotten int
 	Tests, TestsLost, ConnsShut                                        int
+	Unsaid, ByesShed                                                   int // releases without a connection; past a bound
 }
 
 type timer struct {
@@ -217,8 +218,7 @@
 	now     time.Duration
 	timers  *wheel.Wheel[timer]
 	out     []Effect
-	feedQ   []brain.Event
-	feeding bool
+	module  policy.Feed
 	random  *rand.Rand // jitter of tries to reach an exchange
 	retry   guard.Retry
 
@@ -226,8 +226,7 @@
 	order   []*caller // by age
 	calls   map[uint64]*call
 	open    int                 // not answered
-	tries   map[uint64]*attempt // out
-	cells   map[int]bool
+	tries   map[uint64]*attempt // out, by call
 
 	peers    []*peer // by number
 	names    map[string]*peer
@@ -250,15 +249,14 @@
 type ending struct {
 	at    time.Duration
 	cause byte
-	said  bool  // its caller was told
 	ghost *peer // where a set-up was given up that may still be answered
 	link  *link // and on which link
 }
 
 // New starts a core.
 func New(cfg Config, now time.Duration) *Core {
-	c := &Core{cfg: cfg, classes: map[string]int{}, now: now, timers: wheel.New[timer](now), callers: map[Conn]*caller{},
-		calls: map[uint64]*call{}, tries: map[uint64]*attempt{}, cells: map[int]bool{}, names: map[string]*peer{}, ids: map[uint32]*peer{},
+	c := &Core{cfg: cfg, module: policy.Feed{Module: cfg.Module}, classes: map[string]int{}, now: now, timers: wheel.New[timer](now), callers: map[Conn]*caller{},
+		calls: map[uint64]*call{}, tries: map[uint64]*attempt{}, names: map[string]*peer{}, ids: map[uint32]*peer{},
 		links: map[Link]*link{}, recent: map[uint64]ending{},
 		random: rand.New(rand.NewPCG(cfg.Settings.Seed, 0x1e7))}
 	c.retry = guard.Retry{Least: retryLeast, Most: retryMost, Random: c.random}
--- a/internal/interwork/module.go
+++ b/internal/interwork/module.go
@@ -3,44 +3,24 @@
 import (
 	"log/slog"
 	"strconv"
-	"time"
 
 	"dahliaspindle/brain"
 	"dahliaspindle/internal/isup"
 )
 
-// feed hands an event to the module and carries out what it asks for. Events that its own actions
-// bring about wait their turn.
-func (c *Core) feed(e brain.Event) {
-	c.feedQ = append(c.feedQ, e)
-	if c.feeding {
-		return
-	}
-	c.feeding = true
-	for len(c.feedQ) > 0 {
-		e := c.feedQ[0]
-		c.feedQ = c.feedQ[1:]
-		for _, a := range c.cfg.Module.Handle(c.now, e) {
-			c.act(a)
-		}
-	}
-	c.feedQ, c.feeding = nil, false
-}
+// feed hands an event to the module and carries out what it asks for.
+func (c *Core) feed(e brain.Event) { c.module.Give(c.now, e, c.act) }
 
 func (c *Core) act(a brain.Action) {
 	switch a := a.(type) {
 	case brain.Send:
-		if x := c.openCall(a.ID); x != nil && x.try == nil {
+		if x := c.openCall(a.ID); x != nil && c.tries[x.id] == nil {
 			c.attempt(x, a)
 		}
 	case brain.Refuse:
 		if x := c.openCall(a.ID); x != nil {
 			c.Stats.Refused++
-			m := release(x.id, isup.Congestion)
-			if a.Backoff > 0 {
-				m.With(isup.StayAway, strconv.AppendInt(nil, int64((a.Backoff+time.Millisecond-1)/time.Millisecond), 10))
-			}
-			c.answer(x, m)
+			c.answer(x, refusal(x.id, a.Backoff))
 		}
 	case brain.GiveUp:
 		if x := c.openCall(a.ID); x != nil {
--- a/internal/interwork/peer.go
+++ b/internal/interwork/peer.go
@@ -76,7 +76,6 @@
 			p = &peer{Entry: e, id: c.lastID, calls: map[uint64]*call{}, heard: c.now}
 			c.names[e.Name], c.ids[p.id] = p, p
 			c.peers = append(c.peers, p)
-			c.cells[e.Cell] = true
 		}
 		was := p.Entry
 		p.Entry = e
@@ -128,13 +127,11 @@
 	p.gone = true
 	delete(c.names, p.Name)
 	delete(c.ids, p.id)
-	live := false
-	for _, q := range c.peers {
-		live = live || !q.gone && q.Cell == p.Cell
-	}
-	if !live {
-		delete(c.cells, p.Cell)
-	}
+}
+
+// listsCell tells whether an exchange of the number is on the list.
+func (c *Core) listsCell(cell int) bool {
+	return slices.ContainsFunc(c.peers, func(p *peer) bool { return !p.gone && p.Cell == cell })
 }
 
 // callsOver ends the calls that stood at an exchange before a time.
@@ -158,15 +155,17 @@
 	if p.gone {
 		return
 	}
-	up, busy, dialing := 0, 0, 0
 	for _, l := range slices.Clone(p.links) {
+		if l.up {
+			c.test(l)
+		}
+	}
+	up, busy, dialing := 0, 0, 0
+	for _, l := range p.links { // what the tests have left
 		if !l.up {
 			dialing++
 			continue
 		}
-		if c.test(l) {
-			continue
-		}
 		up++
 		if len(l.open) > 0 || l.spent {
 			busy++
@@ -204,26 +203,24 @@
 	}
 }
 
-// test asks a quiet link with work on it for a sign of life; true if the link was given up.
-func (c *Core) test(l *link) bool {
+// test asks a quiet link with work on it for a sign of life, and gives up one that gave none.
+func (c *Core) test(l *link) {
 	if l.tested > 0 {
-		if c.now-l.tested < testWithin {
-			return false
+		if c.now-l.tested >= testWithin {
+			c.Stats.TestsLost++
+			c.drop(l, "silent")
 		}
-		c.Stats.TestsLost++
-		c.drop(l, "silent")
-		return true
+		return
 	}
 	wait := quiet
 	if len(l.open) == 0 && !l.spent {
 		if wait = quietStood; len(l.peer.calls) == 0 {
-			return false
+			return
 		}
 	}
 	if c.now-max(l.heard, l.used) >= wait {
 		c.ping(l)
 	}
-	return false
 }
 
 func (c *Core) ping(l *link) {
@@ -345,6 +342,8 @@
 		c.bye(l, b)
 	} else if len(p.byes) < byesMost {
 		p.byes = append(p.byes, b)
+	} else {
+		c.Stats.ByesShed++
 	}
 }
 
--- a/internal/interwork/rig_test.go
+++ b/internal/interwork/rig_test.go
@@ -217,7 +217,7 @@
 	return m
 }
 
-func bye_(id uint64, cause byte) *sip.Message {
+func byeOf(id uint64, cause byte) *sip.Message {
 	return &sip.Message{Method: sip.Bye, CallID: name(id), Seq: 1, Of: sip.Bye, Head: map[string][]string{"Reason": {sip.Reason(cause)}}}
 }
 
@@ -264,3 +264,15 @@
 	}
 	return s
 }
+
+// ringing is a rig with call 7 of connection 1 out to exchange 1; the module sends each call so often.
+func ringing(t *testing.T, times int) (*script, *rig, Send) {
+	mod := direct(times)
+	r := newRig(t, mod)
+	r.call(1, setUp(7, 1))
+	s, ok := r.sent(sip.Invite, 7)
+	if !ok {
+		t.Fatal("no INVITE")
+	}
+	return mod, r, s
+}
--- a/internal/isup/isup.go
+++ b/internal/isup/isup.go
@@ -37,16 +37,13 @@
 	Description = 109
 )
 
-// Causes of Q.850 that are told to callers. The first three say that the call was refused and
-// trying again is harmless, the others that it failed.
+// Causes of Q.850 that are told to callers. Congestion says that the call was refused and trying
+// again is harmless, the others that it is over or failed.
 const (
 	NormalClearing   = 16
-	NoCircuit        = 34
 	TemporaryFailure = 41
 	Congestion       = 42
-	TimerExpired     = 102
 	InvalidContents  = 100
-	NoRoute          = 3
 )
 
 // Most is the length of the longest message, in bytes.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,7 @@
 	held    atomic.Int64 // callers' connections
 	most    int64
 	turned  atomic.Int64 // connections closed at accept
+	unsaid  int          // messages that a connection did not take any more
 	left    bool
 }
 
@@ -106,8 +107,6 @@
 func (n *Node) now() time.Duration { return clockStart + time.Since(n.start) }
 
 func (n *Node) run(hup, term <-chan os.Signal, again func() (*Config, error)) error {
-	defer n.wg.Wait()
-	defer n.cancel()
 	n.log.Info("starting", "name", n.cfg.Name, "listen", n.cfg.Listen, "resolver", n.cfg.Resolver, "sockets", n.cfg.Sockets,
 		"memory", n.cfg.Memory, "exchanges", len(n.cfg.List.Entries()))
 	n.log.Debug("settings", "module", fmt.Sprintf("%+v", n.cfg.Module))
@@ -139,21 +138,40 @@
 		}
 	}
 	n.flush()
-	n.log.Info("left", "stats", n.core.Stats)
+	n.cancel()
+	n.wg.Wait()
+	for len(n.inbox) > 0 {
+		discard(<-n.inbox)
+	}
+	n.log.Info("left", "stats", n.core.Stats, "turned_away", n.turned.Load(), "unsaid", n.unsaid)
 	return nil
 }
 
+var errLeaving = errors.New("leaving")
+
+// discard ends what comes when the core is gone.
+func discard(in interwork.Input) {
+	switch in := in.(type) {
+	case accepted:
+		in.c.Close(errLeaving)
+		close(in.known)
+	case dialed:
+		if in.nc != nil {
+			in.nc.Close()
+		}
+	}
+}
+
 // flush lets what was said be written, then ends all connections.
 func (n *Node) flush() {
 	n.ln.Close()
-	bye := errors.New("leaving")
 	var ends []<-chan struct{}
 	for _, c := range n.callers {
-		c.Finish(bye)
+		c.Finish(errLeaving)
 		ends = append(ends, c.Done())
 	}
 	for _, c := range n.links {
-		c.Finish(bye)
+		c.Finish(errLeaving)
 		ends = append(ends, c.Done())
 	}
 	late := time.After(flushWithin)
@@ -162,14 +180,15 @@
 			select {
 			case <-end:
 				ended = true
-			case <-n.inbox: // nobody waits for it any more
+			case in := <-n.inbox:
+				discard(in)
 			case <-late:
 				n.cancel()
 				for _, c := range n.callers {
-					c.Close(bye)
+					c.Close(errLeaving)
 				}
 				for _, c := range n.links {
-					c.Close(bye)
+					c.Close(errLeaving)
 				}
 				return
 			}
@@ -204,8 +223,8 @@
 	for _, e := range n.core.Handle(n.now(), in) {
 		switch e := e.(type) {
 		case interwork.Say:
-			if c := n.callers[e.Conn]; c != nil {
-				c.Send(e.Msg, 0)
+			if c := n.callers[e.Conn]; c == nil || !c.Send(e.Msg, 0) {
+				n.unsaid++
 			}
 		case interwork.Shut:
 			if c := n.callers[e.Conn]; c != nil {
@@ -214,8 +233,12 @@
 		case interwork.Dial:
 			n.dial(e)
 		case interwork.Send:
-			if c := n.links[e.Link]; (c == nil || !c.Send(e.Msg, e.NotAfter)) && e.Msg.SetUp() {
+			switch c := n.links[e.Link]; {
+			case c != nil && c.Send(e.Msg, e.NotAfter):
+			case e.Msg.SetUp():
 				n.later(interwork.Unsent{Link: e.Link, Msg: e.Msg})
+			default:
+				n.unsaid++
 			}
 		case interwork.Withdraw:
 			if c := n.links[e.Link]; c != nil && !c.Recall(func(m *sip.Message) bool { return m.CallID == e.CallID }) {
@@ -294,7 +317,11 @@
 		e := &callerEdge{n: n, id: id, known: make(chan struct{})}
 		c := transport.Start(nc, transport.Options[*isup.Message]{Reader: e.reader, Outbox: guard.Outbox{Most: outboxMost},
 			Write: writeWithin, Now: n.now}, e)
-		n.put(accepted{id: id, c: c, known: e.known})
+		select {
+		case n.inbox <- accepted{id: id, c: c, known: e.known}:
+		case <-n.ctx.Done():
+			c.Close(errLeaving)
+		}
 	}
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -13,12 +13,15 @@
 	"time"
 
 	"github.com/miekg/dns"
+	"go.uber.org/goleak"
 
 	"dahliaspindle/internal/isup"
 	"dahliaspindle/internal/sip"
 	"dahliaspindle/internal/srvlist"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // exchange is a stand-in: it tells its group, keeps what it is sent and says what a test says.
 type exchange struct {
 	t     *testing.T
@@ -281,11 +284,17 @@
 	return p
 }
 
-func TestACallOverSockets(t *testing.T) {
+// ringing is a bed with call 7 out to the exchange.
+func ringing(t *testing.T, patience string) (*bed, *phone, sipGot) {
+	t.Helper()
 	b := newBed(t)
 	p := b.ready()
-	p.call(7, "3000")
-	in := b.x.await(sip.Invite)
+	p.call(7, patience)
+	return b, p, b.x.await(sip.Invite)
+}
+
+func TestACallOverSockets(t *testing.T) {
+	b, p, in := ringing(t, "3000")
 	if in.m.CallID != "0000000000000007" || in.m.Get("Call-Kind") != "voice" || string(in.m.Body) != "offered" {
 		t.Fatalf("INVITE %+v", in.m)
 	}
@@ -311,10 +320,7 @@
 }
 
 func TestARefusalNamesATimeToComeBack(t *testing.T) {
-	b := newBed(t)
-	p := b.ready()
-	p.call(7, "1000")
-	in := b.x.await(sip.Invite)
+	b, p, in := ringing(t, "1000")
 	b.x.say(in.nc, in.m, 486, "Fail-Word: sub\r\n")
 	m := p.hear(isup.Release)
 	if v, _ := m.Get(isup.StayAway); m.Cause() != isup.Congestion || string(v) != "2000" {
@@ -380,10 +386,7 @@
 }
 
 func TestAGiveUpThatCrossesTheAnswer(t *testing.T) {
-	b := newBed(t)
-	p := b.ready()
-	p.call(7, "3000")
-	in := b.x.await(sip.Invite)
+	b, p, in := ringing(t, "3000")
 	p.say((&isup.Message{Type: isup.Release, Call: 7}).With(isup.Cause, []byte{16}))
 	b.x.await(sip.Cancel)
 	b.x.say(in.nc, in.m, 200, "")
@@ -454,10 +457,7 @@
 }
 
 func TestBadClientsAreClosedAndHurtNobody(t *testing.T) {
-	b := newBed(t)
-	p := b.ready()
-	p.call(7, "3000")
-	in := b.x.await(sip.Invite)
+	b, p, in := ringing(t, "3000")
 	began := time.Now()
 	var bad []*phone
 	for _, words := range []string{"GET / HTTP/1.1\r\n\r\n", "\x00\x03\x01\x02\x03", "\xff\xff\x01" + strings.Repeat("x", 1<<20),
@@ -479,10 +479,7 @@
 }
 
 func TestASpoiltAnswerEndsItsConnectionOnly(t *testing.T) {
-	b := newBed(t)
-	p := b.ready()
-	p.call(7, "3000")
-	in := b.x.await(sip.Invite)
+	b, p, in := ringing(t, "3000")
 	fmt.Fprintf(in.nc, "SIP/2.0 200 OK\r\nCall-ID: %s\r\nCSeq: 1 INVITE\r\nContent-Length: 3000000000\r\n\r\nxx", in.m.CallID)
 	again := b.x.await(sip.Invite) // after the release time
 	if again.nc == in.nc {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -13,6 +13,32 @@
 	Handle(now time.Duration, e brain.Event) []brain.Action
 }
 
+// Feed hands a module one event after another. The zero Feed with a module is ready.
+type Feed struct {
+	Module Module
+	queue  []brain.Event
+	busy   bool
+}
+
+// Give hands an event over and has the module's actions carried out. Events that these bring
+// about wait their turn; false if this one does.
+func (f *Feed) Give(now time.Duration, e brain.Event, act func(brain.Action)) bool {
+	f.queue = append(f.queue, e)
+	if f.busy {
+		return false
+	}
+	f.busy = true
+	for len(f.queue) > 0 {
+		e := f.queue[0]
+		f.queue = f.queue[1:]
+		for _, a := range f.Module.Handle(now, e) {
+			act(a)
+		}
+	}
+	f.queue, f.busy = nil, false
+	return true
+}
+
 // New returns the module of a name: "brain", "direct-only" (a call goes direct
 // or is refused) or "any-tandem" (direct, else the first tandem with room).
 func New(name string, s brain.Settings) Module {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -24,7 +24,7 @@
 	Skipped()
 }
 
-// Options of a connection. Zero fields take the defaults.
+// Options of a connection. Reader must be set; other zero fields take the defaults.
 type Options[M Message] struct {
 	// Reader makes what reads messages from the connection. Its errors end the
 	// connection unless they are Skipped.
