Leaving is bounded by the platform's SIGKILL, and stays for calls that stand

Code: house() left as soon as no set-up was open, and had no bound when one stayed open (the longest patience of that site is 8.8 s, SIGKILL comes after 3.7). Change: leave() answers what is open 0.3 s before SIGKILL and waits for standing calls until then.

--- a/internal/interwork/core_test.go
+++ b/internal/interwork/core_test.go
@@ -367,8 +367,40 @@
 	r.in(LinkSays{s7.Link, answer(7, 200)})
 	r.in(LinkSays{s8.Link, answer(8, 200)})
 	r.pass(100 * time.Millisecond)
-	if !r.c.left || r.said(1, 7) != "9" || r.count(sip.Bye, 7) != 0 {
-		t.Errorf("left %v, said %q, %d BYE", r.c.left, r.said(1, 7), r.count(sip.Bye, 7))
+	if r.c.left || r.said(1, 7) != "9" {
+		t.Errorf("left %v, said %q", r.c.left, r.said(1, 7))
+	}
+	r.in(LinkSays{s7.Link, byeOf(7, isup.NormalClearing)}) // its caller is still told, then nothing stands on its connection
+	r.pass(100 * time.Millisecond)
+	if r.c.left || r.said(1, 7) != "9 12/16" || r.c.callers[1] != nil || r.c.callers[2] == nil {
+		t.Errorf("left %v, said %q, connections %v", r.c.left, r.said(1, 7), r.c.callers)
+	}
+	r.in(LinkSays{s8.Link, byeOf(8, isup.NormalClearing)})
+	r.pass(100 * time.Millisecond)
+	if !r.c.left || r.count(sip.Bye, 7) != 0 {
+		t.Errorf("left %v, %d BYE", r.c.left, r.count(sip.Bye, 7))
+	}
+}
+
+// What is open or stands when the platform is about to end the process does not hold it: the open
+// calls get their answer, and who was never sent on is refused.
+func TestLeavingEndsBeforeThePlatformEndsIt(t *testing.T) {
+	mod := direct(1)
+	r := newRig(t, mod)
+	r.call(1, setUp(7, 1))
+	s7, _ := r.sent(sip.Invite, 7)
+	r.in(LinkSays{s7.Link, answer(7, 200)})
+	r.call(1, setUp(8, 1))
+	mod.on = nil // the module holds the next one
+	r.call(2, setUp(9, 1))
+	r.in(Leave{})
+	r.pass(3*time.Second + 300*time.Millisecond)
+	if r.c.left || r.said(1, 8) != "" || r.said(2, 9) != "" {
+		t.Fatalf("left %v, said %q and %q", r.c.left, r.said(1, 8), r.said(2, 9))
+	}
+	r.pass(200 * time.Millisecond)
+	if !r.c.left || r.said(1, 8) != "12/41" || r.said(2, 9) != "12/42" || r.withdrawn(8) != 1 || r.count(sip.Bye, 7) != 0 {
+		t.Errorf("left %v, said %q and %q, withdrawn %v", r.c.left, r.said(1, 8), r.said(2, 9), r.withdrawn(8))
 	}
 }
 
--- a/internal/interwork/interwork.go
+++ b/internal/interwork/interwork.go
@@ -6,7 +6,9 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"dahliaspindle/brain"
@@ -169,11 +171,18 @@
 	recentFor   = 20 * time.Second        // ended calls are remembered
 	recentMost  = 1 << 14
 	leaveTaking = 750 * time.Millisecond // calls are taken after Leave
+	leaveMargin = 300 * time.Millisecond // before it is killed the controller has left
 	spare       = 2                      // idle connections kept to an exchange
 	retryLeast  = 100 * time.Millisecond // between tries to reach an exchange
 	retryMost   = time.Second
 )
 
+// From SIGTERM to SIGKILL the platform leaves the longest patience, at most killAfter, and killMore.
+const (
+	killAfter = 3 * time.Second
+	killMore  = 700 * time.Millisecond
+)
+
 // Stats count what the core did. Those of a kind that is shed have their own.
 type Stats struct {
 	Calls, Answered, Refused, Failed, Gone, Invalid, Again, Adopted    int
@@ -215,6 +224,7 @@
 	cfg     Config
 	classes map[string]int
 	widest  int
+	grace   time.Duration // from Leave to the last moment to be gone
 	now     time.Duration
 	timers  *wheel.Wheel[timer]
 	out     []Effect
@@ -263,7 +273,9 @@
 	for i, cl := range cfg.Settings.Classes {
 		c.classes[cl.Name] = i
 		c.widest = max(c.widest, cl.Width)
+		c.grace = max(c.grace, cl.GiveUp)
 	}
+	c.grace = min(c.grace, killAfter) + killMore - leaveMargin
 	c.timers.Set(now+houseEvery, timer{house: true})
 	return c
 }
@@ -336,24 +348,48 @@
 	if c.recents = c.recents[n:]; len(c.recents) == 0 {
 		c.recents = nil
 	}
-	if !c.leaving || c.left || c.now-c.leaveAt < leaveTaking {
-		return
+	if c.leaving && !c.left && c.now-c.leaveAt >= leaveTaking {
+		c.leave()
 	}
+}
+
+// leave sees the controller out (graceful shutdown): once no calls are taken any more it stays for
+// those that are open or stand, since who else would tell their callers that they are over; at the
+// end of its grace what is still open gets its answer.
+func (c *Core) leave() {
 	if !c.closed {
 		c.closed = true
 		c.do(Close{})
 	}
+	last := c.now-c.leaveAt >= c.grace
+	for _, id := range slices.Sorted(maps.Keys(c.calls)) {
+		if x := c.calls[id]; last && x != nil && !x.standing {
+			c.lastWord(x)
+		}
+	}
 	for _, k := range c.order {
-		if k.open == 0 {
+		if k.open == 0 && k.standing == 0 {
 			c.shut(k, "leaving")
 		}
 	}
-	if c.open == 0 {
+	if last || len(c.calls) == 0 {
 		c.left = true
 		c.do(Left{})
 	}
 }
 
+// lastWord answers a set-up that can't be waited for: failed, or refused if it was never sent on.
+func (c *Core) lastWord(x *call) {
+	c.feed(brain.CallGone{ID: x.name})
+	if x.attempts > 0 {
+		c.Stats.Failed++
+		c.answer(x, release(x.id, isup.TemporaryFailure))
+		return
+	}
+	c.Stats.Refused++
+	c.answer(x, refusal(x.id, 0))
+}
+
 // remember keeps the end of a call.
 func (c *Core) remember(id uint64, e ending) {
 	if _, there := c.recent[id]; !there {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -442,6 +442,8 @@
 	time.Sleep(900 * time.Millisecond)
 	b.x.say(in.nc, in.m, 200, "")
 	q.hear(isup.Answer)
+	b.x.bye(in.nc, in.m.CallID) // the end of a call that stands is still told
+	q.hear(isup.Release)
 	select {
 	case err := <-b.ended:
 		if err != nil {
