The resolver's late answers are heard; a connection is half-closed before it is closed

One socket is kept for all questions (its descriptor too), the last 16 may be answered in any order, an answer that was overtaken says nothing against the list, a lower number is asked about again at once, questions carry jitter. A new resolver's socket replaces the old one's, so that nothing of an older configuration is heard. TestASlowResolverIsHeard fails where only the last two questions are open (seen). - Finish closed a socket that may hold bytes unread, which resets it: it ends its own side and reads on to the peer's end (0.5 s). - Shut overtook set-ups that were read but still in the inbox, which got no word: it goes through the inbox behind them, and they are refused. - Links that are dropped with something out discard what the exchange has not read; a blocked write that holds a recalled set-up gets 50 ms.

--- a/internal/interwork/caller.go
+++ b/internal/interwork/caller.go
@@ -119,6 +119,9 @@
 func (c *Core) callerSays(in CallerSays) {
 	k := c.callers[in.Conn]
 	if k == nil {
+		if in.Msg.Type == isup.SetUp { // read before the connection is closed, which has been decided
+			c.turnAway(in.Conn, in.Msg.Call)
+		}
 		return
 	}
 	k.said, k.since = true, c.now
@@ -150,12 +153,13 @@
 }
 
 // turnAway refuses a set-up that is not taken.
-func (c *Core) turnAway(k *caller, id uint64) {
+func (c *Core) turnAway(to Conn, id uint64) {
+	c.Stats.Refused++
 	backoff := time.Duration(0)
 	if c.cfg.Settings.Backoff {
 		backoff = c.cfg.Settings.BackoffMax
 	}
-	c.do(Say{k.id, refusal(id, backoff)})
+	c.do(Say{to, refusal(id, backoff)})
 }
 
 // request is a set-up that was read.
@@ -259,15 +263,14 @@
 		return
 	case have != nil:
 		c.Stats.Invalid++
-		c.turnAway(k, id)
+		c.turnAway(k.id, id)
 		return
 	case err != nil:
 		c.Stats.Invalid++
 		c.do(Say{k.id, release(id, isup.InvalidContents)})
 		return
 	case c.closed, k.open >= c.cfg.PerConn, len(c.calls) >= c.cfg.Calls:
-		c.Stats.Refused++
-		c.turnAway(k, id)
+		c.turnAway(k.id, id)
 		return
 	}
 	x := &call{id: id, name: fmt.Sprintf("%016x", id), from: k, class: r.class, number: r.number, desc: r.desc}
--- a/internal/interwork/interwork.go
+++ b/internal/interwork/interwork.go
@@ -88,7 +88,8 @@
 		Conn Conn
 		Msg  *isup.Message
 	}
-	// Shut closes a caller's connection once what was said on it is written.
+	// Shut closes a caller's connection once what was said on it is written; set-ups that were read
+	// before that still come to the core and are refused.
 	Shut struct {
 		Conn Conn
 		Why  string
@@ -116,10 +117,11 @@
 		Link Link
 		Shut bool
 	}
-	// Drop closes a connection to an exchange.
+	// Drop closes a connection to an exchange; one that is not idle without giving it what it has not read.
 	Drop struct {
 		Link Link
 		Why  string
+		Idle bool
 	}
 	// Close closes the listener.
 	Close struct{}
--- a/internal/interwork/peer.go
+++ b/internal/interwork/peer.go
@@ -243,7 +243,7 @@
 func (c *Core) linkUp(id Link) {
 	l := c.links[id]
 	if l == nil {
-		c.do(Drop{id, "not wanted any more"})
+		c.do(Drop{Link: id, Why: "not wanted any more", Idle: true})
 		return
 	}
 	p := l.peer
@@ -302,7 +302,7 @@
 // drop closes a link; what was out on it is unclear.
 func (c *Core) drop(l *link, why string) {
 	c.unlink(l)
-	c.do(Drop{l.id, why})
+	c.do(Drop{Link: l.id, Why: why, Idle: len(l.open) == 0 && l.tested == 0})
 	c.log(slog.LevelDebug, "link dropped", "exchange", l.peer.Name, "link", l.id, "why", why, "open", len(l.open))
 	c.reset(l)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,7 +36,9 @@
 	beginWithin  = 2 * time.Second // a caller's message is whole by then
 	answerWithin = time.Second     // an exchange's message is whole by then
 	clockStart   = time.Hour       // so that what started before has a positive time
-	flushWithin  = 400 * time.Millisecond
+	flushWithin  = 200 * time.Millisecond
+	lingerWithin = 500 * time.Millisecond // a caller ends its side within that of a connection that we end
+	recallWithin = 50 * time.Millisecond  // a write that holds a set-up which is called back
 )
 
 type (
@@ -111,9 +113,8 @@
 		"memory", n.cfg.Memory, "exchanges", len(n.cfg.List.Entries()))
 	n.log.Debug("settings", "module", fmt.Sprintf("%+v", n.cfg.Module))
 	n.step(interwork.Listed{Complete: true, Changes: n.cfg.List.Entries()})
-	res := &resolver{n: n, list: n.cfg.List}
-	res.ask.Store(&n.cfg.Resolver)
-	n.wg.Go(res.run)
+	res := newResolver(n, n.cfg.List)
+	n.wg.Go(func() { res.run(n.cfg.Resolver) })
 	n.wg.Go(n.accept)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -131,7 +132,7 @@
 				continue
 			}
 			n.log.Info("configuration read again", "resolver", cfg.Resolver)
-			res.ask.Store(&cfg.Resolver)
+			res.use(cfg.Resolver)
 		case <-term:
 			n.log.Info("leaving")
 			n.step(interwork.Leave{})
@@ -215,6 +216,11 @@
 	case dialed:
 		n.dialed(in)
 		return
+	case ending:
+		if c := n.callers[in.id]; c != nil {
+			c.Finish(errors.New(in.why))
+		}
+		return
 	case interwork.CallerDown:
 		delete(n.callers, in.Conn)
 	case interwork.LinkDown:
@@ -227,9 +233,7 @@
 				n.unsaid++
 			}
 		case interwork.Shut:
-			if c := n.callers[e.Conn]; c != nil {
-				c.Finish(errors.New(e.Why))
-			}
+			n.later(ending{id: e.Conn, why: e.Why}) // behind what was read from it already
 		case interwork.Dial:
 			n.dial(e)
 		case interwork.Send:
@@ -254,7 +258,9 @@
 			if stop := n.dials[e.Link]; stop != nil {
 				stop()
 			}
-			if c := n.links[e.Link]; c != nil {
+			if c := n.links[e.Link]; c != nil && e.Idle {
+				c.Finish(errors.New(e.Why))
+			} else if c != nil {
 				c.Close(errors.New(e.Why))
 			}
 		case interwork.Close:
@@ -276,7 +282,7 @@
 	}
 }
 
-// accepted and dialed are inputs of the node's own.
+// accepted, ending and dialed are inputs of the node's own.
 type (
 	accepted struct {
 		interwork.Input
@@ -284,6 +290,11 @@
 		c     *callerConn
 		known chan struct{} // closed once the core knows the connection
 	}
+	ending struct {
+		interwork.Input
+		id  interwork.Conn
+		why string
+	}
 	dialed struct {
 		interwork.Input
 		id  interwork.Link
@@ -316,7 +327,7 @@
 		n.held.Add(1)
 		e := &callerEdge{n: n, id: id, known: make(chan struct{})}
 		c := transport.Start(nc, transport.Options[*isup.Message]{Reader: e.reader, Outbox: guard.Outbox{Most: outboxMost},
-			Write: writeWithin, Now: n.now}, e)
+			Write: writeWithin, Linger: lingerWithin, Now: n.now}, e)
 		select {
 		case n.inbox <- accepted{id: id, c: c, known: e.known}:
 		case <-n.ctx.Done():
@@ -395,7 +406,7 @@
 	}
 	e := &linkEdge{n: n, id: in.id}
 	n.links[in.id] = transport.Start(in.nc, transport.Options[*sip.Message]{Reader: e.reader, Outbox: guard.Outbox{Most: outboxMost},
-		Write: writeWithin, Grace: n.cfg.Module.DrainGrace, Now: n.now}, e)
+		Write: writeWithin, Grace: n.cfg.Module.DrainGrace, Recall: recallWithin, Abort: true, Now: n.now}, e)
 	n.step(interwork.LinkUp{Link: in.id})
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -119,10 +119,12 @@
 	serial uint32
 	prio   int
 	mute   bool
+	late   time.Duration // an answer comes so long after its question
+	asked  int
 	x      *exchange
 }
 
-func newResolver(t *testing.T, x *exchange) *standIn {
+func newDNS(t *testing.T, x *exchange) *standIn {
 	pc, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -152,10 +154,11 @@
 			}
 			soa, _ := dns.NewRR(fmt.Sprintf("hosts. 0 IN SOA a. b. %d 1 1 1 1", s.serial))
 			m.Ns = []dns.RR{soa}
-			mute := s.mute
+			mute, late := s.mute, s.late
+			s.asked++
 			s.mu.Unlock()
 			if p, err := m.Pack(); err == nil && !mute {
-				_, _ = pc.WriteTo(p, from) // lost answers are asked for again
+				time.AfterFunc(late, func() { _, _ = pc.WriteTo(p, from) }) // lost answers are asked for again
 			}
 		}
 	}()
@@ -191,7 +194,7 @@
 func newBed(t *testing.T) *bed {
 	b := &bed{t: t, x: newExchange(t), hup: make(chan os.Signal, 1), term: make(chan os.Signal, 1), ended: make(chan error, 1),
 		file: filepath.Join(t.TempDir(), "config.json")}
-	b.res = newResolver(t, b.x)
+	b.res = newDNS(t, b.x)
 	b.write(b.res.pc.LocalAddr().String())
 	env := func(k string) string { return map[string]string{EnvConfig: b.file}[k] }
 	cfg, err := Read(env)
@@ -415,7 +418,7 @@
 		t.Fatal(err)
 	}
 	b.hup <- syscall.SIGHUP // unreadable: the old one is kept
-	second := newResolver(t, b.x)
+	second := newDNS(t, b.x)
 	second.set(2, 1)
 	time.Sleep(50 * time.Millisecond)
 	b.write(second.pc.LocalAddr().String())
@@ -431,6 +434,97 @@
 	}
 }
 
+// An answer that takes longer than the time between two questions is heard, over the one socket that
+// all questions go out on.
+func TestASlowResolverIsHeard(t *testing.T) {
+	b := newBed(t)
+	b.ready()
+	b.res.mu.Lock()
+	b.res.late, b.res.serial, b.res.prio = 700*time.Millisecond, 2, 1
+	b.res.mu.Unlock()
+	b.drained()
+}
+
+// A question that is under way when another resolver is named is not answered any more: its word is
+// of an older configuration. Two new configurations at once leave the last one.
+func TestAnOlderResolversLateWordIsNotHeard(t *testing.T) {
+	b := newBed(t)
+	b.ready()
+	b.res.mu.Lock()
+	b.res.late, b.res.serial, b.res.prio = 400*time.Millisecond, 9, 1 // would drain the exchange
+	asked := b.res.asked
+	b.res.mu.Unlock()
+	await(t, func() bool { return b.res.questions() > asked })
+	skipped, last := newDNS(t, b.x), newDNS(t, b.x)
+	skipped.set(8, 1)
+	skipped.mu.Lock()
+	skipped.late = 200 * time.Millisecond
+	skipped.mu.Unlock()
+	last.set(2, 0)
+	for _, s := range []*standIn{skipped, last} {
+		b.write(s.pc.LocalAddr().String())
+		b.hup <- syscall.SIGHUP
+	}
+	await(t, func() bool { return last.questions() >= 5 }) // the late answers would have come
+	p := b.phone()
+	p.call(7, "3000")
+	b.x.say(b.x.await(sip.Invite).nc, &sip.Message{CallID: "0000000000000007", Of: sip.Invite}, 200, "")
+	p.hear(isup.Answer)
+	last.set(3, 1) // its numbers go on
+	b.drained()
+}
+
+// await gives what must come 10 s.
+func await(t *testing.T, come func() bool) {
+	t.Helper()
+	for late := time.Now().Add(10 * time.Second); !come(); time.Sleep(time.Millisecond) {
+		if time.Now().After(late) {
+			t.Fatal("it did not come within 10 s")
+		}
+	}
+}
+
+func (s *standIn) questions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked
+}
+
+// drained waits until a call to the exchange is refused without having been sent there. The calls before
+// that stand; they are fewer than its circuits.
+func (b *bed) drained() {
+	b.t.Helper()
+	for id := uint64(1000); id < 1012; id++ {
+		p := b.phone()
+		p.call(id, "3000")
+		heard := make(chan *isup.Message, 1)
+		go func() {
+			m, _ := p.r.Read()
+			heard <- m
+		}()
+		var m *isup.Message
+		for sent := false; m == nil; {
+			select {
+			case g := <-b.x.got:
+				if g.m.Method == sip.Invite {
+					sent = true
+					b.x.say(g.nc, g.m, 200, "")
+				}
+			case m = <-heard:
+				if m == nil {
+					b.t.Fatalf("call %d got no answer", id)
+				}
+				if !sent && m.Type == isup.Release && m.Cause() == isup.Congestion {
+					return
+				}
+			}
+		}
+		p.nc.Close()
+		time.Sleep(200 * time.Millisecond)
+	}
+	b.t.Fatal("the exchange's draining was not heard")
+}
+
 func TestLeavingAnswersWhatWasTakenOverSockets(t *testing.T) {
 	b := newBed(t)
 	p := b.ready()
--- a/internal/srvlist/srvlist.go
+++ b/internal/srvlist/srvlist.go
@@ -35,8 +35,10 @@
 type List struct {
 	serial  uint64
 	entries []Entry // by name; none that are gone
-	older   int     // answers in a row that were older, none of them than the one before
+	told    uint64  // the last question whose answer held this list
+	older   int     // answers in a row to later ones that were older, none of them than the one before
 	last    uint64  // the number of the last of them
+	counted uint64  // and its question
 }
 
 // overruled is how many such answers speak against the number held. Numbers begin anew with each
@@ -123,9 +125,11 @@
 // ErrOld says that an answer is of before what the list holds.
 var ErrOld = errors.New("an older list")
 
-// Answer folds an answer to a question under id in and returns what has changed, what is gone
-// first. An answer that is not whole, not to the question or older changes nothing.
-func (l *List) Answer(id uint16, packet []byte) ([]Entry, error) {
+// Answer folds an answer to the nth question in and returns what has changed, what is gone first.
+// The question's id is the last 16 bits of n. An answer that is not whole, not to the question or
+// older changes nothing; answers may come in another order than the questions went out.
+func (l *List) Answer(n uint64, packet []byte) ([]Entry, error) {
+	id := uint16(n)
 	var m dns.Msg
 	if err := m.Unpack(packet); err != nil {
 		return nil, fmt.Errorf("resolver's answer: %w", err)
@@ -152,14 +156,18 @@
 		return nil, fmt.Errorf("resolver's answer: %w", err)
 	}
 	if serial < l.serial {
-		if l.older++; serial < l.last {
-			l.older = 1
-		}
-		if l.last = serial; l.older < overruled {
+		switch { // an answer that was overtaken says nothing against the list
+		case n <= max(l.told, l.counted):
+		case serial < l.last:
+			l.older, l.last, l.counted = 1, serial, n
+		default:
+			l.older, l.last, l.counted = l.older+1, serial, n
+		}
+		if l.older < overruled {
 			return nil, fmt.Errorf("resolver's answer: %w: %d after %d", ErrOld, serial, l.serial)
 		}
 	}
-	l.older, l.last = 0, 0
+	l.older, l.last, l.counted, l.told = 0, 0, 0, max(l.told, n)
 	if serial == l.serial {
 		return nil, nil
 	}
--- a/internal/srvlist/srvlist_test.go
+++ b/internal/srvlist/srvlist_test.go
@@ -126,26 +126,49 @@
 	if _, err := l.Answer(5, packet(t, 5, 900, nil, a, b)); err != nil || l.Serial() != 900 {
 		t.Fatalf("at %d, %v", l.Serial(), err)
 	}
-	for n, serial := range []uint32{43, 42, 42, 43} { // one that is older still begins the row anew
-		if _, err := l.Answer(5, packet(t, 5, serial, nil, b)); !errors.Is(err, ErrOld) {
-			t.Fatalf("answer %d: %v", n, err)
+	for i, serial := range []uint32{43, 42, 42, 43} { // one that is older still begins the row anew
+		n := uint64(6 + i)
+		for range 3 { // a copy is no further word
+			if _, err := l.Answer(n, packet(t, uint16(n), serial, nil, b)); !errors.Is(err, ErrOld) {
+				t.Fatalf("answer %d: %v", n, err)
+			}
 		}
 	}
-	got, err := l.Answer(5, packet(t, 5, 44, nil, b))
+	got, err := l.Answer(10, packet(t, 10, 44, nil, b))
 	if err != nil || !reflect.DeepEqual(got, []Entry{gone}) || l.Serial() != 44 {
 		t.Fatalf("%+v at %d, %v", got, l.Serial(), err)
 	}
 	// where good answers come between, older ones change nothing however many they are
-	for range 3 * overruled {
-		if _, err := l.Answer(5, packet(t, 5, 40, nil, a)); !errors.Is(err, ErrOld) {
+	for n := uint64(11); n < 11+6*overruled; n += 2 {
+		if _, err := l.Answer(n, packet(t, uint16(n), 40, nil, a)); !errors.Is(err, ErrOld) {
 			t.Fatal(err)
 		}
-		if _, err := l.Answer(5, packet(t, 5, 44, nil, b)); err != nil {
+		if _, err := l.Answer(n+1, packet(t, uint16(n+1), 44, nil, b)); err != nil {
 			t.Fatal(err)
 		}
 	}
 }
 
+// Answers come in another order than the questions: those of before the list's own are overtaken,
+// however many they are.
+func TestOvertakenAnswersDoNotOverruleTheList(t *testing.T) {
+	l := list(t)
+	if _, err := l.Answer(20, packet(t, 20, 50, nil, a)); err != nil {
+		t.Fatal(err)
+	}
+	for n := uint64(10); n < 20; n++ {
+		if _, err := l.Answer(n, packet(t, uint16(n), 45, nil, a, b)); !errors.Is(err, ErrOld) {
+			t.Fatalf("question %d: %v", n, err)
+		}
+	}
+	if l.Serial() != 50 || len(l.Entries()) != 1 {
+		t.Errorf("the list is %+v at %d", l.Entries(), l.Serial())
+	}
+	if got, err := l.Answer(19, packet(t, 19, 51, nil, b)); err != nil || len(got) != 2 { // a late one may bring news
+		t.Errorf("%+v, %v", got, err)
+	}
+}
+
 func FuzzAnswer(f *testing.F) {
 	f.Add(packet(f, 5, 43, nil, a, b))
 	f.Add(packet(f, 5, 40, nil, a))
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -37,6 +37,12 @@
 	Tap   *capture.Tap
 	// Now is the clock of NotAfter.
 	Now func() time.Duration
+	// Linger is how long Finish waits for the peer's end after its own (half-close); 0 ends both at once.
+	Linger time.Duration
+	// Recall bounds the write under way that a set-up which is called back is part of; 0 leaves it.
+	Recall time.Duration
+	// Abort makes Close discard what the peer has not been given yet.
+	Abort bool
 }
 
 // Handler is told what happens on a connection. Message, Bad come from the
@@ -70,6 +76,7 @@
 	queue   []item[M]
 	fence   guard.Fence
 	writing bool // a batch with set-ups is being written
+	hurried bool // and has had its time cut
 	closed  bool
 	last    bool // closes once the queue is written
 	why     error
@@ -144,7 +151,8 @@
 	return true
 }
 
-// Recall takes the set-up that is meant back if it has not left; false if it has, or is leaving.
+// Recall takes the set-up that is meant back if it has not left; false if it has, or is leaving. A
+// write of set-ups under way is given Options.Recall from then on, or the connection ends.
 func (c *Conn[M]) Recall(meant func(M) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -154,6 +162,10 @@
 			return true
 		}
 	}
+	if c.writing && !c.closed && !c.hurried && c.opt.Recall > 0 {
+		c.hurried = true
+		_ = c.nc.SetWriteDeadline(time.Now().Add(c.opt.Recall)) // fails only on a closed connection
+	}
 	return false
 }
 
@@ -193,7 +205,9 @@
 	c.closeLocked(why)
 }
 
-// Finish ends the connection once what is queued has been written; nothing more is taken.
+// Finish ends the connection once what is queued has been written; nothing more is taken. With
+// Options.Linger this end is closed first and the peer's is read to: a socket closed with bytes
+// unread is reset, and the reset may overtake what was written.
 func (c *Conn[M]) Finish(why error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -210,7 +224,12 @@
 	if c.closed {
 		return
 	}
-	c.closed, c.why = true, why
+	if c.closed = true; c.why == nil {
+		c.why = why
+	}
+	if l, ok := c.nc.(interface{ SetLinger(sec int) error }); ok && c.opt.Abort && !c.last {
+		_ = l.SetLinger(0) // fails only on a closed connection
+	}
 	_ = c.nc.Close() // ends both loops; there is nobody to tell
 	select {
 	case c.wake <- struct{}{}:
@@ -271,7 +290,7 @@
 		if c.queue = c.queue[n:]; len(c.queue) == 0 {
 			c.queue = nil
 		}
-		c.writing = setups
+		c.writing, c.hurried = setups, false
 		at := c.opt.Tap.Now() // from here on nothing can be recalled
 		if len(buf) > 0 {
 			_ = c.nc.SetWriteDeadline(time.Now().Add(c.opt.Write)) // fails only on a closed connection
@@ -283,6 +302,7 @@
 		}
 		if len(buf) == 0 {
 			if done {
+				c.linger()
 				c.Close(why)
 				return
 			}
@@ -311,6 +331,29 @@
 	}
 }
 
+// linger ends this end of the connection and waits for the peer's.
+func (c *Conn[M]) linger() {
+	half, ok := c.nc.(interface{ CloseWrite() error })
+	if c.opt.Linger <= 0 || !ok || half.CloseWrite() != nil {
+		return
+	}
+	late := time.NewTimer(c.opt.Linger)
+	defer late.Stop()
+	for {
+		select {
+		case <-late.C:
+			return
+		case <-c.wake:
+			c.mu.Lock()
+			closed := c.closed
+			c.mu.Unlock()
+			if closed {
+				return
+			}
+		}
+	}
+}
+
 // Key names a connection alike at both ends.
 func Key(nc net.Conn, dialed bool) string {
 	if dialed {
