Calls to an exchange off the list are the module's; waiting calls of a kind share one look

Ruled out: a core that stands still (the logs end at a bound), answers to connections that are gone (none unsaid). Lines: figures() in interwork asked the list of the moment; it is what was ever listed now.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -121,6 +121,21 @@
 	since, latAt, cutAt, epsAt, tokensAt time.Duration
 }
 
+// kind is all by which the ways that are open to one waiting call differ from those of another.
+// Where one of a kind found no way in a turn, the others have none: within it, ways only close.
+type kind struct {
+	dest, class, width int
+	worth              float64
+	transit            bool
+	alts               int
+}
+
+// closure says why.
+type closure struct {
+	Reason
+	Scope
+}
+
 // share is what one class of own direct calls asks of a group and has of it.
 type share struct {
 	demand  meter // circuits, as arrivals times holding time
@@ -138,6 +153,14 @@
 	return f.turned[dest]
 }
 
+// told is the same to look at.
+func (f *far) told(dest int) turn {
+	if t := f.turned[dest]; t != nil {
+		return *t
+	}
+	return turn{}
+}
+
 // turnBack skips the tandem for this destination, twice as long each time in a
 // row. It saves the work of calls that go one leg far, whatever blocks the
 // second; it harms when the second leg clears soon after.
@@ -187,10 +210,11 @@
 	order           []*far // by number
 	hosts           map[uint32]int
 	calls           map[string]*call
-	open            []*call       // not answered, by arrival
-	stood           []*call       // standing
-	ghostsAt        time.Duration // when those were last looked through
-	queue           []*call       // waiting
+	open            []*call          // not answered, by arrival
+	stood           []*call          // standing
+	ghostsAt        time.Duration    // when those were last looked through
+	queue           []*call          // waiting
+	shut            map[kind]closure // in this turn
 	numbers         map[uint64]*busy
 	own             *far
 	credit          float64 // tandem tries that may go out, earned by those that stood
@@ -216,7 +240,7 @@
 func New(s Settings) *Controller {
 	k := &Controller{set: s, cells: map[int]*far{}, hosts: map[uint32]int{}, calls: map[string]*call{},
 		numbers: map[uint64]*busy{}, verdicts: map[Reason]int{},
-		tried: map[uint64]time.Duration{}, random: rand.New(rand.NewPCG(s.Seed, uint64(s.Me)))}
+		tried: map[uint64]time.Duration{}, shut: map[kind]closure{}, random: rand.New(rand.NewPCG(s.Seed, uint64(s.Me)))}
 	aim := time.Hour
 	for _, c := range s.Classes {
 		aim = min(aim, c.Aim)
@@ -433,6 +457,7 @@
 
 // serve offers waiting calls their turn and answers those whose wait is over.
 func (k *Controller) serve() {
+	clear(k.shut)
 	k.sweep()
 	k.sortQueue()
 	if l := k.lowest(); l != nil && k.served >= keepEvery {
@@ -600,6 +625,10 @@
 	if d == nil || d == k.own && !k.set.Pools {
 		return k.hold(c, NoExchange, ScopeFar)
 	}
+	like := kind{c.Dest, c.Class, c.Width, c.worth, c.Transit, c.alts}
+	if why, shut := k.shut[like]; shut {
+		return k.hold(c, why.Reason, why.Scope)
+	}
 	r, s := k.direct(c, d)
 	if r == "" {
 		k.send(c, d, false)
@@ -614,6 +643,7 @@
 		k.send(c, t, true)
 		return true
 	}
+	k.shut[like] = closure{r, s}
 	return k.hold(c, r, s)
 }
 
@@ -746,18 +776,21 @@
 	if c.Transit || c.alts >= altTries || k.credit < 1 {
 		return nil
 	}
-	if !k.set.Pools && (r != WaitRoom && (r != WaitDead || k.now < d.second(c.Dest).until) ||
+	if !k.set.Pools && (r != WaitRoom && (r != WaitDead || k.now < d.told(c.Dest).until) ||
 		d.size > 0 && (k.fade(k.press, k.pressAt) > altPressure || k.fade(d.lat, d.latAt) > altPressure)) {
 		return nil // a try round a silent way that failed speaks for all
 	}
 	var best *far
 	vouched := false
-	for _, t := range k.order {
-		good := k.now < t.second(c.Dest).good
-		if t == d || t == k.own || !t.known || best != nil && (vouched && !good ||
-			good == vouched && t.free <= best.free) || k.now < t.second(c.Dest).until ||
-			k.set.Pools && !slices.Contains(k.class(c).Pools, t.cell) ||
-			t.free-k.owed(t) < c.Width || k.fade(t.lat, t.latAt) > altPressure {
+	for _, t := range k.order { // what is cheap to see comes first: all that wait come by here at each event
+		if t == d || t == k.own || !t.known || t.state != In || t.free < c.Width ||
+			k.set.Pools && !slices.Contains(k.class(c).Pools, t.cell) || t.free-k.owed(t) < c.Width {
+			continue
+		}
+		leg := t.told(c.Dest)
+		good := k.now < leg.good
+		if best != nil && (vouched && !good || good == vouched && t.free <= best.free) ||
+			k.now < leg.until || k.fade(t.lat, t.latAt) > altPressure {
 			continue
 		}
 		if why, _ := k.closed(c, t); why == "" {
--- a/internal/interwork/caller.go
+++ b/internal/interwork/caller.go
@@ -238,7 +238,7 @@
 		}
 	}
 	switch {
-	case !dest || !c.listsCell(r.Dest) || r.Dest == c.cfg.Settings.Self && !c.cfg.Settings.Pools:
+	case !dest || !c.served(r.Dest) || r.Dest == c.cfg.Settings.Self && !c.cfg.Settings.Pools:
 		return fmt.Errorf("no such destination in %.80q", text)
 	case !width || r.Width < 1 || r.Width > c.widest:
 		return fmt.Errorf("width out of range in %.80q", text)
--- a/internal/interwork/core_test.go
+++ b/internal/interwork/core_test.go
@@ -168,6 +168,24 @@
 	}
 }
 
+// A number whose exchange is off the list is a number all the same: the module has the call, which
+// waits and is refused with a time to come back. Only one that no exchange ever had is no number.
+func TestACallToAnExchangeThatIsOffTheListIsTheModules(t *testing.T) {
+	r := newRig(t, nil)
+	gone := entry(3)
+	gone.State = brain.Out
+	r.in(Listed{Changes: []srvlist.Entry{gone}})
+	r.call(1, setUp(7, 3))
+	r.call(1, setUp(8, 99))
+	if r.said(1, 7) != "" || r.said(1, 8) != "12/100" {
+		t.Fatalf("said %q and %q", r.said(1, 7), r.said(1, 8))
+	}
+	r.pass(1100 * time.Millisecond)
+	if r.said(1, 7) != "12/42" || r.c.Stats.Invalid != 1 {
+		t.Errorf("said %q, %d invalid", r.said(1, 7), r.c.Stats.Invalid)
+	}
+}
+
 func TestOneConnectionHoldsOnlySoManyOpenSetUps(t *testing.T) {
 	r := newRig(t, direct(1))
 	for id := uint64(1); id <= 6; id++ {
--- a/internal/interwork/interwork.go
+++ b/internal/interwork/interwork.go
@@ -240,7 +240,8 @@
 	open    int                 // not answered
 	tries   map[uint64]*attempt // out, by call
 
-	peers    []*peer // by number
+	peers    []*peer      // by number
+	cells    map[int]bool // numbers that were ever listed
 	names    map[string]*peer
 	ids      map[uint32]*peer
 	lastID   uint32
@@ -268,7 +269,7 @@
 // New starts a core.
 func New(cfg Config, now time.Duration) *Core {
 	c := &Core{cfg: cfg, module: policy.Feed{Module: cfg.Module}, classes: map[string]int{}, now: now, timers: wheel.New[timer](now), callers: map[Conn]*caller{},
-		calls: map[uint64]*call{}, tries: map[uint64]*attempt{}, names: map[string]*peer{}, ids: map[uint32]*peer{},
+		calls: map[uint64]*call{}, tries: map[uint64]*attempt{}, names: map[string]*peer{}, cells: map[int]bool{}, ids: map[uint32]*peer{},
 		links: map[Link]*link{}, recent: map[uint64]ending{},
 		random: rand.New(rand.NewPCG(cfg.Settings.Seed, 0x1e7))}
 	c.retry = guard.Retry{Least: retryLeast, Most: retryMost, Random: c.random}
--- a/internal/interwork/peer.go
+++ b/internal/interwork/peer.go
@@ -76,6 +76,7 @@
 			p = &peer{Entry: e, id: c.lastID, calls: map[uint64]*call{}, heard: c.now}
 			c.names[e.Name], c.ids[p.id] = p, p
 			c.peers = append(c.peers, p)
+			c.cells[e.Cell] = true
 		}
 		was := p.Entry
 		p.Entry = e
@@ -129,9 +130,11 @@
 	delete(c.ids, p.id)
 }
 
-// listsCell tells whether an exchange of the number is on the list.
-func (c *Core) listsCell(cell int) bool {
-	return slices.ContainsFunc(c.peers, func(p *peer) bool { return !p.gone && p.Cell == cell })
+// served tells whether a number is an exchange's: one that was ever listed, or one of the controllers'
+// own exchanges; any, while no list was told. Whether it can be reached now is the module's to say: one that is off the list for
+// a while is no fault of the caller, who may come back.
+func (c *Core) served(cell int) bool {
+	return cell >= 0 && (c.cells[cell] || len(c.cells) == 0 || !c.cfg.Settings.Pools && cell < c.cfg.Settings.Controllers)
 }
 
 // callsOver ends the calls that stood at an exchange before a time.
