--- a/internal/interwork/caller.go
+++ b/internal/interwork/caller.go
@@ -152,14 +152,24 @@
 	return m
 }
 
-// turnAway refuses a set-up that is not taken.
+// NewCall tells whether a message is a set-up that wants an answer and may get one at the edge.
+func NewCall(m *isup.Message) bool {
+	figures, _ := m.Get(isup.Figures)
+	return m.Type == isup.SetUp && !strings.Contains(string(figures), "at:")
+}
+
+// TurnAway is the answer to a set-up that is not taken: refused, with a time to come back where the
+// settings allow one.
+func TurnAway(id uint64, s brain.Settings) *isup.Message {
+	if !s.Backoff {
+		return refusal(id, 0)
+	}
+	return refusal(id, s.BackoffMax)
+}
+
 func (c *Core) turnAway(to Conn, id uint64) {
 	c.Stats.Refused++
-	backoff := time.Duration(0)
-	if c.cfg.Settings.Backoff {
-		backoff = c.cfg.Settings.BackoffMax
-	}
-	c.do(Say{to, refusal(id, backoff)})
+	c.do(Say{to, TurnAway(id, c.cfg.Settings)})
 }
 
 // request is a set-up that was read.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,9 @@
 	recallWithin = 50 * time.Millisecond  // a write that holds a set-up which is called back
 )
 
+// intake sheds new calls where the core does not keep up: they would be answered too late.
+var intake = guard.Intake{Most: inboxMost}
+
 type (
 	callerConn = transport.Conn[*isup.Message]
 	linkConn   = transport.Conn[*sip.Message]
@@ -65,6 +68,7 @@
 	held    atomic.Int64 // callers' connections
 	most    int64
 	turned  atomic.Int64 // connections closed at accept
+	shed    atomic.Int64 // set-ups refused since the core had too much to look at
 	unsaid  int          // messages that a connection did not take any more
 	left    bool
 }
@@ -123,6 +127,9 @@
 		select {
 		case in := <-n.inbox:
 			n.step(in)
+			if len(n.inbox) > 0 { // what was asked for is written before more is looked at, a CANCEL before its next INVITE
+				runtime.Gosched()
+			}
 		case <-timer.C:
 			n.step(interwork.Tick{})
 		case <-hup:
@@ -144,7 +151,7 @@
 	for len(n.inbox) > 0 {
 		discard(<-n.inbox)
 	}
-	n.log.Info("left", "stats", n.core.Stats, "turned_away", n.turned.Load(), "unsaid", n.unsaid)
+	n.log.Info("left", "stats", n.core.Stats, "turned_away", n.turned.Load(), "shed", n.shed.Load(), "unsaid", n.unsaid)
 	return nil
 }
 
@@ -358,9 +365,14 @@
 	}
 }
 
-func (e *callerEdge) Message(_ *callerConn, m *isup.Message) {
+func (e *callerEdge) Message(c *callerConn, m *isup.Message) {
 	at := e.n.now()
 	e.wait()
+	if interwork.NewCall(m) && intake.Admit(guard.NewCall, len(e.n.inbox)) == guard.Shed {
+		e.n.shed.Add(1)
+		c.Send(interwork.TurnAway(m.Call, e.n.cfg.Module), 0)
+		return
+	}
 	e.n.put(interwork.CallerSays{Conn: e.id, At: at, Msg: m})
 }
 
