Connections to exchanges stay within the descriptors as the list grows; idle ones are closed first

Suspects read in the code: connections for each exchange came from the length of the list at the start and never again, so a list that started short or grew overran the third of the descriptors; conn_idle_ns of the settings was not read, so a set-up could cross an exchange's close of an idle connection. The budget is for all connections now, a set-up without one takes the room of the idlest, and a connection is closed up to a second before the exchange may close it, and not used then.

--- a/internal/interwork/attempt.go
+++ b/internal/interwork/attempt.go
@@ -37,13 +37,13 @@
 		return
 	}
 	t.timer = c.timers.Set(t.notAfter, timer{try: t})
-	if l := c.pick(p, c.recent[x.id].link); l != nil {
+	if l := c.pick(p, c.recent[x.id].link); l != nil && !c.stale(l) {
 		c.put(t, l)
 		c.keep(p)
 		return
 	}
 	p.waiting = append(p.waiting, t)
-	if !slices.ContainsFunc(p.links, func(l *link) bool { return !l.up }) {
+	if !slices.ContainsFunc(p.links, func(l *link) bool { return !l.up }) && (len(c.links) < c.cfg.Links || c.makeRoom(true)) {
 		c.dial(p)
 	}
 }
--- a/internal/interwork/interwork.go
+++ b/internal/interwork/interwork.go
@@ -152,7 +152,8 @@
 	Settings brain.Settings
 	Connect  time.Duration // a connection that is not up by then counts as not made
 	Epoch    int64         // Unix nanoseconds at time 0 of the clock
-	Links    int           // connections to one exchange, at the most
+	Links    int           // connections to exchanges, at the most
+	Idle     time.Duration // exchanges close connections that were idle for so long, 0 never
 	Conns    int           // callers' connections, at the most
 	PerConn  int           // set-ups open on one of them, at the most
 	Debug    bool          // each verdict is logged, not only those that the module names
@@ -175,6 +176,8 @@
 	leaveTaking = 750 * time.Millisecond // calls are taken after Leave
 	leaveMargin = 300 * time.Millisecond // before it is killed the controller has left
 	spare       = 2                      // idle connections kept to an exchange
+	linksMost   = 12                     // connections to one exchange, at the most
+	idleMargin  = time.Second            // before the exchange does, at the most, this end closes an idle one
 	retryLeast  = 100 * time.Millisecond // between tries to reach an exchange
 	retryMost   = time.Second
 )
--- a/internal/interwork/peer.go
+++ b/internal/interwork/peer.go
@@ -159,7 +159,9 @@
 		return
 	}
 	for _, l := range slices.Clone(p.links) {
-		if l.up {
+		if l.up && c.stale(l) {
+			c.drop(l, "idle")
+		} else if l.up {
 			c.test(l)
 		}
 	}
@@ -180,9 +182,9 @@
 	case c.now-p.heard > silentFor && len(p.calls) > 0:
 		c.callsOver(p, c.now+1, "silent")
 	}
-	want := min(busy+spare, c.cfg.Links)
+	want := min(busy+spare, c.perPeer())
 	if p.State != brain.In {
-		want = min(1, c.cfg.Links)
+		want = 1
 	}
 	if p.fails > 0 {
 		want = min(want, up+1)
@@ -190,7 +192,7 @@
 			want = up
 		}
 	}
-	for n := up + dialing; n < want; n++ {
+	for n := up + dialing; n < want && (len(c.links) < c.cfg.Links || n == 0 && c.makeRoom(len(p.waiting) > 0)); n++ {
 		c.dial(p)
 	}
 	if up > want+spare { // the longest unused goes
@@ -206,6 +208,32 @@
 	}
 }
 
+// stale tells whether a link has been idle for so long that the exchange may be about to close it:
+// a set-up that crosses that close is unclear.
+func (c *Core) stale(l *link) bool {
+	return c.cfg.Idle > 0 && len(l.open) == 0 && l.tested == 0 && c.now-l.used >= c.cfg.Idle-min(c.cfg.Idle/4, idleMargin)
+}
+
+// perPeer is how many connections one exchange may have: the list may grow beyond that of the start.
+func (c *Core) perPeer() int { return min(max(c.cfg.Links/max(len(c.peers), 1), 1), linksMost) }
+
+// makeRoom closes the link that was idle the longest: one of several to its exchange or, where a
+// set-up needs the room, any.
+func (c *Core) makeRoom(needed bool) bool {
+	var idlest *link
+	for _, p := range c.peers {
+		for _, l := range p.links {
+			if l.up && len(l.open) == 0 && l.tested == 0 && (needed || len(p.links) > 1) && (idlest == nil || l.used < idlest.used) {
+				idlest = l
+			}
+		}
+	}
+	if idlest != nil {
+		c.drop(idlest, "its descriptor is needed")
+	}
+	return idlest != nil
+}
+
 // test asks a quiet link with work on it for a sign of life, and gives up one that gave none.
 func (c *Core) test(l *link) {
 	if l.tested > 0 {
--- a/internal/interwork/rig_test.go
+++ b/internal/interwork/rig_test.go
@@ -66,7 +66,7 @@
 		m = brain.New(settings)
 	}
 	r.c = New(Config{Module: m, Settings: settings, Connect: 500 * time.Millisecond, Epoch: int64(time.Hour) * 1000,
-		Links: 4, Conns: 8, PerConn: 5, Calls: 1000}, start)
+		Links: 16, Conns: 8, PerConn: 5, Calls: 1000}, start)
 	r.in(Listed{Complete: true, Changes: []srvlist.Entry{entry(0), entry(1), entry(2), entry(3)}})
 	r.up()
 	for n := 1; n <= 3; n++ {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -30,7 +30,7 @@
 	Sockets                int   // descriptors
 	Memory                 int64 // bytes
 	Module                 brain.Settings
-	Connect                time.Duration
+	Connect, Idle          time.Duration // bounds of a connection's making and of its rest
 	List                   *srvlist.List
 }
 
@@ -89,7 +89,7 @@
 		return nil, fmt.Errorf("limits: %d sockets and %d MB: at least 64 and 16 are needed", f.Limits.Sockets, f.Limits.Memory)
 	}
 	c := &Config{Name: f.Name, Listen: f.Listen, Resolver: f.Resolver, Sockets: f.Limits.Sockets,
-		Memory: f.Limits.Memory << 20, Connect: time.Duration(f.Settings.Limits.Connect)}
+		Memory: f.Limits.Memory << 20, Connect: time.Duration(f.Settings.Limits.Connect), Idle: time.Duration(f.Settings.Limits.Idle)}
 	if c.Module, err = f.Settings.Module(seed); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,7 +27,6 @@
 // Bounds of the edge.
 const (
 	ownSockets   = 24              // listener, resolver, the runtime's and room
-	linksMost    = 12              // connections to one exchange, at the most
 	perConnMost  = 128             // set-ups open on one caller's connection
 	callsMost    = 1 << 16         // open and standing
 	inboxMost    = 512             // inputs waiting for the core
@@ -99,11 +98,10 @@
 		dials: map[interwork.Link]context.CancelFunc{}}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	room := cfg.Sockets - ownSockets
-	links := min(max(room/3/max(len(cfg.List.Entries()), 1), 1), linksMost)
 	callers := room / 2
 	n.most = int64(callers + callers/8) // while the core makes room
 	n.core = interwork.New(interwork.Config{Module: policy.New("brain", cfg.Module), Settings: cfg.Module,
-		Connect: cfg.Connect, Epoch: n.start.Add(-clockStart).UnixNano(), Links: links, Conns: callers,
+		Connect: cfg.Connect, Epoch: n.start.Add(-clockStart).UnixNano(), Links: room / 3, Idle: cfg.Idle, Conns: callers,
 		PerConn: perConnMost, Calls: callsMost,
 		Debug: log.Enabled(n.ctx, slog.LevelDebug)}, n.now())
 	return n
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -86,6 +86,7 @@
 		Peers      bool  `json:"peers"`
 		Probing    bool  `json:"probing"`
 		Connect    int64 `json:"connect_timeout_ns"`
+		Idle       int64 `json:"conn_idle_ns"`
 	} `json:"policy_limits"`
 	Profiles []struct {
 		Name      string  `json:"name"`
