A BYE before the answer ends the call whatever its cause: its caller is told

(SIP has no BYE from the called side before its final answer.) Ruled out: the further attempt's own call, which was released in order. Line: cleared() took such a BYE as the reset of a set-up and let the module try again.

--- a/internal/interwork/attempt.go
+++ b/internal/interwork/attempt.go
@@ -235,13 +235,14 @@
 	switch x, t := c.calls[id], c.tries[id]; {
 	case x != nil && x.standing && x.at == p:
 		c.over(x, outcome, cause, false)
-	case t != nil && t.peer == p && t.link != nil && outcome == brain.OK && t.call == x:
-		// it stood and came to its end while its answer was on the way: there is nothing to try again
+	case t != nil && t.peer == p && t.link != nil && t.call == x:
+		// it stood and is over while its answer was on the way (a BYE has no other place): its caller is
+		// owed that word, and there is nothing to try again
 		c.conclude(t)
 		c.remember(id, ending{cause: cause})
 		c.answer(x, release(id, cause))
-		c.ended(t, brain.Ended{Outcome: brain.OK})
-	case t != nil && t.peer == p && t.link != nil:
+		c.ended(t, brain.Ended{Outcome: outcome})
+	case t != nil && t.peer == p && t.link != nil: // given up meanwhile
 		c.conclude(t)
 		c.ended(t, brain.Ended{Outcome: brain.Reset})
 	case x == nil:
