Set-ups share connections to an exchange until one is lost with set-ups out

Set-ups share one up to four at a time; once one is lost with set-ups out, each gets its own for 10 s, as before. A further attempt at the same exchange waits for another connection: answers are told apart by it alone. Tests of 'another connection' make one now, since there are no spare ones; what they ask for is the same.

--- a/internal/interwork/attempt.go
+++ b/internal/interwork/attempt.go
@@ -37,7 +37,8 @@
 		return
 	}
 	t.timer = c.timers.Set(t.notAfter, timer{try: t})
-	if l := c.pick(p, c.recent[x.id].link); l != nil && !c.stale(l) {
+	before := c.recent[x.id].link // where an answer to the attempt before may still come
+	if l := c.pick(p, before); l != nil && !c.stale(l) && (l != before || len(p.links) >= c.perPeer()) {
 		c.put(t, l)
 		c.keep(p)
 		return
--- a/internal/interwork/interwork.go
+++ b/internal/interwork/interwork.go
@@ -175,7 +175,8 @@
 	recentMost  = 1 << 14
 	leaveTaking = 750 * time.Millisecond // calls are taken after Leave
 	leaveMargin = 300 * time.Millisecond // before it is killed the controller has left
-	spare       = 2                      // idle connections kept to an exchange
+	shared      = 4                      // set-ups out on one connection before another is made
+	apartFor    = 10 * time.Second       // once one was lost with set-ups out, each gets one of its own for so long
 	linksMost   = 12                     // connections to one exchange, at the most
 	idleMargin  = time.Second            // before the exchange does, at the most, this end closes an idle one
 	retryLeast  = 100 * time.Millisecond // between tries to reach an exchange
--- a/internal/interwork/peer.go
+++ b/internal/interwork/peer.go
@@ -25,6 +25,7 @@
 	told    brain.Report // of the group, the last
 
 	heard   time.Duration // last sign of life
+	apart   time.Duration // until then set-ups share no connection
 	fails   int           // tries to connect in a row that came to nothing
 	refused time.Duration // since when it refuses connections, 0 if it does not
 	retryAt time.Duration
@@ -165,13 +166,17 @@
 			c.test(l)
 		}
 	}
-	up, busy, dialing := 0, 0, 0
+	up, busy, dialing, out, spent := 0, 0, 0, len(p.waiting), 0
 	for _, l := range p.links { // what the tests have left
 		if !l.up {
 			dialing++
 			continue
 		}
 		up++
+		out += len(l.open)
+		if l.spent {
+			spent++
+		}
 		if len(l.open) > 0 || l.spent {
 			busy++
 		}
@@ -182,7 +187,11 @@
 	case c.now-p.heard > silentFor && len(p.calls) > 0:
 		c.callsOver(p, c.now+1, "silent")
 	}
-	want := min(busy+spare, c.perPeer())
+	want := max((out+shared-1)/shared, 1) + spent
+	if c.now < p.apart {
+		want = busy + 1
+	}
+	want = min(want, c.perPeer())
 	if p.State != brain.In {
 		want = 1
 	}
@@ -195,7 +204,7 @@
 	for n := up + dialing; n < want && (len(c.links) < c.cfg.Links || n == 0 && c.makeRoom(len(p.waiting) > 0)); n++ {
 		c.dial(p)
 	}
-	if up > want+spare { // the longest unused goes
+	if up > want { // the longest unused goes
 		var l *link
 		for _, k := range p.links {
 			if k.up && len(k.open) == 0 && c.now-k.used > idle && (l == nil || k.used < l.used) {
@@ -291,7 +300,7 @@
 	waiting := p.waiting
 	p.waiting = nil
 	for _, t := range waiting {
-		c.put(t, c.pick(p, nil))
+		c.put(t, c.pick(p, c.recent[t.call.id].link))
 	}
 	c.keep(p)
 }
@@ -341,6 +350,9 @@
 // reset ends what was out on a link that is over. The exchange gives it up as it sees the end; if
 // it had answered, the call is hung up on the next link.
 func (c *Core) reset(l *link) {
+	if len(l.open) > 0 {
+		l.peer.apart = c.now + apartFor
+	}
 	for _, t := range slices.Clone(l.open) {
 		c.Stats.Resets++
 		c.hangUp(l.peer, t.call.id, t.call.name, isup.TemporaryFailure)
--- a/internal/interwork/rig_test.go
+++ b/internal/interwork/rig_test.go
@@ -135,6 +135,15 @@
 	return 0
 }
 
+// second makes a further connection to an exchange.
+func (r *rig) second(n int) Link {
+	p := r.c.names[fmt.Sprintf("s-%d", n)]
+	r.c.dial(p)
+	l := p.links[len(p.links)-1].id
+	r.in(LinkUp{l})
+	return l
+}
+
 func setUp(id uint64, dest int) *isup.Message {
 	return (&isup.Message{Type: isup.SetUp, Call: id}).With(isup.Class, []byte("voice")).With(isup.Patience, []byte("1500")).
 		With(isup.Number, []byte("7f3a9c21e0b4d655")).With(isup.Figures, fmt.Appendf(nil, "dest:%d;width:1;via:-1", dest)).
