A caller that has gone: nothing begins for a set-up that waits in the inbox; tests of crossings

Seen by a test that is the core's goroutine: a set-up that was read waits in the inbox, its caller closes, and the set-up is still sent when the core comes to it, until the word of the close follows. The edge looks at the connection's end first now. Module, retry timer, wait for a connection and late dials held already.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -226,6 +226,10 @@
 			c.Finish(errors.New(in.why))
 		}
 		return
+	case interwork.CallerSays:
+		if c := n.callers[in.Conn]; c != nil && c.Over() && interwork.NewCall(in.Msg) {
+			return // its caller has gone while it waited here
+		}
 	case interwork.CallerDown:
 		delete(n.callers, in.Conn)
 	case interwork.LinkDown:
--- a/internal/node/order_test.go
+++ b/internal/node/order_test.go
@@ -7,8 +7,11 @@
 	"testing"
 	"time"
 
+	"dahliaspindle/brain"
 	"dahliaspindle/internal/interwork"
 	"dahliaspindle/internal/isup"
+	"dahliaspindle/internal/sip"
+	"dahliaspindle/internal/srvlist"
 )
 
 // The tests here force an order of events: the test is the core's goroutine, and looks at the inputs
@@ -135,3 +138,140 @@
 		t.Errorf("%+v", g.core.Stats)
 	}
 }
+
+// invites are the set-ups that reach the exchange within a time.
+func (x *exchange) invites(within time.Duration) (n int) {
+	for late := time.After(within); ; {
+		select {
+		case g := <-x.got:
+			if g.m.Method == sip.Invite {
+				n++
+			}
+		case <-late:
+			return n
+		}
+	}
+}
+
+// A caller that has gone, by closing its connection or by giving the set-up up, wherever its set-up
+// rests: no attempt begins from then on.
+func TestNoAttemptBeginsForACallerThatHasGone(t *testing.T) {
+	goes := map[string]func(g *gated, p *phone){
+		"closes": func(g *gated, p *phone) {
+			p.nc.Close()
+			await(g.t, func() bool { return g.callers[1] == nil || g.callers[1].Over() })
+		},
+		"gives up": func(g *gated, p *phone) {
+			before := len(g.inbox)
+			p.say((&isup.Message{Type: isup.Release, Call: 7}).With(isup.Cause, []byte{isup.NormalClearing}))
+			g.waiting(before + 1)
+		},
+	}
+	down := func(in interwork.Input) bool {
+		switch in := in.(type) {
+		case interwork.CallerDown:
+			return true
+		case interwork.CallerSays:
+			return in.Msg.Type == isup.Release
+		}
+		return false
+	}
+	rests := map[string]func(g *gated, p *phone, leave func()){
+		"inbox": func(g *gated, p *phone, leave func()) {
+			p.call(7, "3000")
+			g.waiting(1)
+			leave()
+			g.until(saysSetUp)
+			if n := g.b.x.invites(100 * time.Millisecond); n != 0 {
+				g.t.Errorf("%d attempts began before the word that the caller has gone", n)
+			}
+			g.until(down)
+		},
+		"module": func(g *gated, p *phone, leave func()) {
+			g.step(interwork.Listed{Changes: []srvlist.Entry{{Name: "s-1", Addr: g.b.x.ln.Addr().String(), Cell: 1, State: brain.Draining}}})
+			p.call(7, "3000")
+			g.until(saysSetUp)
+			leave()
+			g.until(down)
+			g.step(interwork.Listed{Changes: []srvlist.Entry{{Name: "s-1", Addr: g.b.x.ln.Addr().String(), Cell: 1, State: brain.In}}})
+		},
+		"retry timer": func(g *gated, p *phone, leave func()) {
+			p.call(7, "3000")
+			g.until(saysSetUp)
+			in := g.b.x.await(sip.Invite)
+			g.b.x.say(in.nc, in.m, 504, "")
+			g.linked()
+			leave()
+			g.until(down)
+		},
+	}
+	for where, rest := range rests {
+		for how, goes := range goes {
+			if where == "inbox" && how == "gives up" {
+				continue // the word is behind the set-up in order; the next test has the outbox
+			}
+			t.Run(where+", "+how, func(t *testing.T) {
+				g := newGated(t)
+				g.linked()
+				p := g.b.phone()
+				g.until(func(in interwork.Input) bool { _, is := in.(accepted); return is })
+				rest(g, p, func() { goes(g, p) })
+				for range 12 {
+					g.pass(50 * time.Millisecond)
+				}
+				if n := g.b.x.invites(100 * time.Millisecond); n != 0 {
+					t.Errorf("%d attempts began", n)
+				}
+				if s := g.core.Stats; s.Answered+s.Refused+s.Failed != 0 {
+					t.Errorf("an answer that nobody waits for: %+v", s)
+				}
+			})
+		}
+	}
+}
+
+// The same while the set-up waits for a connection: the dial ends after the caller has gone, and by then
+// the exchange has been taken off the list.
+func TestADialThatEndsLateBringsNothing(t *testing.T) {
+	for what, crossing := range map[string]func(g *gated){
+		"the caller has gone": func(g *gated) {
+			g.step(interwork.CallerDown{Conn: 1})
+		},
+		"the exchange is gone": func(g *gated) {
+			g.step(interwork.Listed{Changes: []srvlist.Entry{{Name: "s-1", Cell: 1, State: brain.Out}}})
+		},
+		"a new exchange has its address": func(g *gated) {
+			at := g.b.x.ln.Addr().String()
+			g.step(interwork.Listed{Changes: []srvlist.Entry{{Name: "s-1", Addr: at, Cell: 1, State: brain.Draining}, {Name: "s-2", Addr: at, Cell: 2}}})
+		},
+	} {
+		t.Run(what, func(t *testing.T) {
+			g := newGated(t)
+			p := g.b.phone()
+			var up interwork.Input // the dial has ended and is not looked at yet
+			known := false
+			for up == nil || !known {
+				switch in := (<-g.inbox).(type) {
+				case dialed:
+					up = in
+				case accepted:
+					g.step(in)
+					known = true
+				}
+			}
+			p.call(7, "3000")
+			g.until(saysSetUp)
+			crossing(g)
+			g.step(up)
+			for len(g.inbox) > 0 {
+				g.next()
+			}
+			if n := g.b.x.invites(100 * time.Millisecond); n != 0 {
+				t.Errorf("%d attempts began", n)
+			}
+			if len(g.links) > 2 || len(g.dials) > 1 {
+				t.Errorf("%d links and %d dials are left", len(g.links), len(g.dials))
+			}
+		})
+	}
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -169,6 +169,13 @@
 	return false
 }
 
+// Over tells whether the connection has ended, at either end; its handler may not have been told yet.
+func (c *Conn[M]) Over() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 // Queued is the number of messages waiting to be written.
 func (c *Conn[M]) Queued() int {
 	c.mu.Lock()
