--- /dev/null
+++ b/brain/fleet_test.go
@@ -0,0 +1,209 @@
+package brain
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// fleet plays many controllers against exchanges that answer at once and have circuits enough: what is
+// looked at is only how many set-ups reach an exchange that has just started.
+type fleet struct {
+	set   Settings
+	ks    []*Controller
+	rand  *rand.Rand
+	queue moments
+	seq   int
+	now   time.Duration
+	calls map[string]*fleetCall
+	got   map[int][]time.Duration // set-ups by exchange, when they were sent
+	until time.Duration
+}
+
+type fleetCall struct {
+	Call
+	k, tries, n int
+}
+
+type moment struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type moments []moment
+
+func (m moments) Len() int { return len(m) }
+func (m moments) Less(i, j int) bool {
+	return m[i].at < m[j].at || m[i].at == m[j].at && m[i].seq < m[j].seq
+}
+func (m moments) Swap(i, j int) { m[i], m[j] = m[j], m[i] }
+func (m *moments) Push(x any)   { *m = append(*m, x.(moment)) }
+func (m *moments) Pop() any {
+	x := (*m)[len(*m)-1]
+	*m = (*m)[:len(*m)-1]
+	return x
+}
+
+func (f *fleet) at(t time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.queue, moment{t, f.seq, do})
+}
+
+func (f *fleet) tell(k int, e Event) {
+	for _, a := range f.ks[k].Handle(f.now, e) {
+		switch a := a.(type) {
+		case Send:
+			c := f.calls[a.ID]
+			n := c.n
+			c.n++
+			f.got[int(a.Exchange-1)%100] = append(f.got[int(a.Exchange-1)%100], f.now)
+			if f.ks[k].set.Self != int(a.Exchange-1)%100 { // the own processor has work of it too
+				f.got[k] = append(f.got[k], f.now)
+			}
+			f.at(f.now+20*time.Millisecond, func() {
+				f.tell(k, Standing{ID: a.ID, Attempt: n, Exchange: a.Exchange, After: 20 * time.Millisecond})
+				f.at(f.now+f.exp(2*time.Second), func() {
+					f.tell(k, Ended{ID: a.ID, Attempt: n, Exchange: a.Exchange, Outcome: OK, Final: true})
+				})
+			})
+		case Refuse: // half of the callers stay away as long as they are told, the others come sooner
+			c := *f.calls[a.ID]
+			if c.tries++; c.tries < 3 {
+				wait := a.Backoff
+				if f.rand.IntN(2) == 0 {
+					wait = 700 * time.Millisecond
+				}
+				f.at(f.now+wait, func() { f.call(c.k, c.Dest, c.tries) })
+			}
+		case Wake:
+			f.at(f.now+a.After, func() { f.tell(k, Alarm{Token: a.Token}) })
+		}
+	}
+}
+
+func (f *fleet) exp(mean time.Duration) time.Duration {
+	return time.Duration(f.rand.ExpFloat64() * float64(mean))
+}
+
+func (f *fleet) call(k, dest, tries int) {
+	f.seq++
+	c := &fleetCall{k: k, tries: tries, Call: Call{ID: fmt.Sprint(f.seq), Left: 3 * time.Second, Dest: dest, Width: 1,
+		Through: -1, Numbered: true, Number: uint64(f.seq), Repeat: tries > 0}}
+	f.calls[c.ID] = c
+	f.tell(k, c.Call)
+}
+
+// arrivals are calls of one controller to one exchange, at a mean rate a second.
+func (f *fleet) arrivals(k, dest int, rate float64) {
+	next := f.now + f.exp(time.Duration(float64(time.Second)/rate))
+	if next < f.until {
+		f.at(next, func() { f.call(k, dest, 0); f.arrivals(k, dest, rate) })
+	}
+}
+
+func (f *fleet) run() {
+	for f.queue.Len() > 0 && f.queue[0].at < f.until {
+		m := heap.Pop(&f.queue).(moment)
+		f.now = m.at
+		m.do()
+	}
+}
+
+// A zone comes back cold: a third of the exchanges is off the list for a while, then starts again, while
+// callers who were refused come again. All controllers together, with unequal traffic, first sends after
+// the change included, stay within what the settings allow a cold processor, and twice its root and two.
+func TestAZoneThatComesBackColdIsNotPushedOver(t *testing.T) {
+	type site struct {
+		controllers int
+		from        float64
+		cold        time.Duration
+		factor      float64
+		over        time.Duration
+		rate        float64 // calls a second, of all
+	}
+	for i, s := range []site{
+		{36, 0.29, 13 * time.Second, 2.5, 3 * time.Second, 300},
+		{20, 0.2, 9 * time.Second, 2, 2 * time.Second, 80},
+		{30, 0.4, 8 * time.Second, 4, 3 * time.Second, 40},
+	} {
+		for seed := range uint64(3) {
+			f := &fleet{rand: rand.New(rand.NewPCG(seed, uint64(i))), calls: map[string]*fleetCall{}, got: map[int][]time.Duration{},
+				now: time.Hour, until: time.Hour + 40*time.Second}
+			weight := make([]float64, s.controllers) // some see several times the mean
+			sum := 0.0
+			for k := range weight {
+				weight[k] = 1 / float64(1+k%9)
+				sum += weight[k]
+			}
+			var rows []Exchange
+			for x := range s.controllers {
+				rows = append(rows, Exchange{ID: uint32(x + 1), Cell: x})
+			}
+			demand := make([]float64, s.controllers) // at an exchange, with its own callers' calls
+			for k := range s.controllers {
+				f.ks = append(f.ks, New(Settings{Seed: seed*1000 + uint64(k), Self: k, Me: k, Controllers: s.controllers, MaxAttempts: 6,
+					ReleaseWait: 300 * time.Millisecond, Cancelling: true, DrainGrace: 250 * time.Millisecond, Backoff: true,
+					BackoffMax: 2 * time.Second, Tick: time.Millisecond, MarksRepeat: true, ColdFrom: s.from, ColdFor: s.cold,
+					OverloadFactor: s.factor, OverloadFor: s.over,
+					Classes: []Class{{Name: "voice", Worth: 1, LateWorth: 0.1, Aim: time.Second, GiveUp: 9 * time.Second, Holding: 2 * time.Second, Width: 1}}}))
+				f.tell(k, Exchanges{Complete: true, Entries: rows})
+				for x := range s.controllers {
+					f.tell(k, Circuits{Exchange: uint32(x + 1), OK: true, Report: Report{Known: true, Free: 1000, Size: 1000}})
+					if x != k {
+						rate := s.rate * weight[k] / sum * weight[x] / (sum - weight[k])
+						demand[x] += rate
+						demand[k] += rate
+						f.arrivals(k, x, rate)
+					}
+				}
+			}
+			down, up := f.now+15*time.Second, f.now+20*time.Second
+			for k := range s.controllers {
+				heard := time.Duration(f.rand.Int64N(int64(1500 * time.Millisecond)))
+				var gone, back []Exchange
+				for x := 0; x < s.controllers; x += 3 {
+					gone = append(gone, Exchange{ID: uint32(x + 1), Cell: x, State: Out})
+					back = append(back, Exchange{ID: uint32(x + 101), Cell: x, Since: up})
+				}
+				f.at(down+heard, func() { f.tell(k, Exchanges{Entries: gone}) })
+				f.at(up+heard, func() {
+					f.tell(k, Exchanges{Entries: back})
+					for _, b := range back {
+						f.tell(k, Circuits{Exchange: b.ID, OK: true, Report: Report{Known: true, Free: 1000, Size: 1000}})
+					}
+				})
+			}
+			f.run()
+			worst := 0.0
+			for x := 0; x < s.controllers; x += 3 {
+				capacity := demand[x] / 0.8
+				sends := f.got[x]
+				for a := range sends {
+					if sends[a] < up || sends[a]-up >= s.cold {
+						continue
+					}
+					n := 0
+					for _, at := range sends[a:] {
+						if at-sends[a] >= s.over {
+							break
+						}
+						n++
+					}
+					have := s.from + (1-s.from)*float64(sends[a]-up)/float64(s.cold)
+					budget := s.factor * have * capacity * s.over.Seconds()
+					worst = max(worst, float64(n)/(budget+2*math.Sqrt(budget)+2))
+					if float64(n) > budget+2*math.Sqrt(budget)+2 {
+						t.Errorf("site %d, seed %d: exchange %d got %d set-ups in %v at %v after its start; %.1f are allowed and %.1f more are chance",
+							i, seed, x, n, s.over, sends[a]-up, budget, 2*math.Sqrt(budget)+2)
+						break
+					}
+				}
+			}
+			t.Logf("site %d, seed %d: at the most %.2f of what is allowed", i, seed, worst)
+		}
+	}
+}
