An Unsent that comes late is not taken for the set-up after it

Read in the code: Node.later may bring an Unsent behind newer inputs of its call; where an exchange has one connection only, the next set-up on it was concluded as never sent while it was out. The core compares the message itself now.

--- a/internal/interwork/attempt.go
+++ b/internal/interwork/attempt.go
@@ -18,7 +18,8 @@
 	call     *call
 	n        int
 	peer     *peer
-	link     *link // nil while it waits for one
+	link     *link        // nil while it waits for one
+	invite   *sip.Message // as it was sent on the link
 	sent     time.Duration
 	notAfter time.Duration
 	timer    wheel.Handle
@@ -65,7 +66,8 @@
 	l.open = append(l.open, t)
 	l.used = c.now
 	c.log(slog.LevelDebug, "set-up", "call", t.call.name, "nth", t.n, "exchange", t.peer.Name, "link", l.id, "within", t.notAfter-c.now)
-	c.do(Send{l.id, t.call.invite(t.notAfter - c.now), t.notAfter})
+	t.invite = t.call.invite(t.notAfter - c.now)
+	c.do(Send{l.id, t.invite, t.notAfter})
 }
 
 // conclude takes an attempt out of all that holds it.
@@ -109,9 +111,8 @@
 }
 
 func (c *Core) unsent(in Unsent) {
-	l := c.links[in.Link]
 	id, err := strconv.ParseUint(in.Msg.CallID, 16, 64)
-	if t := c.tries[id]; err == nil && t != nil && t.link == l {
+	if t := c.tries[id]; err == nil && t != nil && t.invite == in.Msg { // not one of before that is told late
 		c.conclude(t)
 		c.ended(t, brain.Ended{Outcome: brain.Moot})
 	}
