--- a/internal/interwork/links_test.go
+++ b/internal/interwork/links_test.go
@@ -144,3 +144,49 @@
 		t.Errorf("said %q, %d BYE", r.said(1, 7), r.count(sip.Bye, 7))
 	}
 }
+
+// Exchanges that can't be reached for ten minutes, some silent, some refusing: what is kept for them does
+// not grow, and each is tried again and again.
+func TestConnectionsThatNeverComeUpLeaveNothing(t *testing.T) {
+	r := newRig(t, direct(1))
+	for _, l := range r.links() {
+		r.in(LinkDown{Link: l.id})
+	}
+	most, tries := 0, 0
+	for range 10 * 60 * 10 {
+		r.now += 100 * time.Millisecond
+		r.in(Tick{})
+		for i, d := range r.dial {
+			tries++
+			r.in(LinkDown{Link: d.Link, Refused: i%2 == 0})
+		}
+		r.dial = nil
+		most = max(most, len(r.c.links))
+		r.out = nil
+	}
+	if most > 8 || r.c.timers.Len() > 4 || tries < 4*300 || tries > 4*6000 {
+		t.Errorf("%d connections and %d timers at the most, %d tries", most, r.c.timers.Len(), tries)
+	}
+}
+
+// An Unsent that is told after the next set-up of its call went out on the same connection is not taken
+// for that one, which is out.
+func TestAnUnsentThatComesLateEndsNothing(t *testing.T) {
+	r := newRig(t, direct(2))
+	r.c.cfg.Links = 4 // one to each exchange
+	r.call(1, setUp(7, 1))
+	first, _ := r.sent(sip.Invite, 7)
+	r.in(LinkSays{first.Link, answer(7, 504)})
+	second, _ := r.sent(sip.Invite, 7)
+	if r.count(sip.Invite, 7) != 2 || second.Link != first.Link {
+		t.Fatalf("%d attempts, on links %d and %d", r.count(sip.Invite, 7), first.Link, second.Link)
+	}
+	r.in(Unsent{Link: first.Link, Msg: first.Msg})
+	if ends := r.mod.ends(); len(ends) != 1 {
+		t.Errorf("ends %+v", ends)
+	}
+	r.in(Unsent{Link: second.Link, Msg: second.Msg})
+	if ends := r.mod.ends(); len(ends) != 2 || ends[1].Outcome != brain.Moot {
+		t.Errorf("ends %+v", ends)
+	}
+}
