--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -13,7 +13,6 @@
 // fleet plays many controllers against exchanges that answer at once and have circuits enough: what is
 // looked at is only how many set-ups reach an exchange that has just started.
 type fleet struct {
-	set   Settings
 	ks    []*Controller
 	rand  *rand.Rand
 	queue moments
