--- a/brain/brain.go
+++ b/brain/brain.go
@@ -241,7 +241,8 @@
 func New(s Settings) *Controller {
 	k := &Controller{set: s, cells: map[int]*far{}, hosts: map[uint32]int{}, calls: map[string]*call{},
 		numbers: map[uint64]*busy{}, verdicts: map[Reason]int{},
-		tried: map[uint64]time.Duration{}, shut: map[kind]closure{}, random: rand.New(rand.NewPCG(s.Seed, uint64(s.Me)))}
+		tried: map[uint64]time.Duration{}, shut: map[kind]closure{},
+		random: rand.New(rand.NewPCG(s.Seed, uint64(s.Me)))}
 	aim := time.Hour
 	for _, c := range s.Classes {
 		aim = min(aim, c.Aim)
