Word of a standing call behind a decided close is not refused

Read in the diff: a set-up that names a standing call (at) and was read before its connection's close got the refusal meant for new calls, which its caller would take for the end of that call. Test: TestASetUpBehindAShutIsRefused.

--- a/internal/interwork/caller.go
+++ b/internal/interwork/caller.go
@@ -119,7 +119,7 @@
 func (c *Core) callerSays(in CallerSays) {
 	k := c.callers[in.Conn]
 	if k == nil {
-		if in.Msg.Type == isup.SetUp { // read before the connection is closed, which has been decided
+		if NewCall(in.Msg) { // read before the connection is closed, which has been decided
 			c.turnAway(in.Conn, in.Msg.Call)
 		}
 		return
--- a/internal/interwork/core_test.go
+++ b/internal/interwork/core_test.go
@@ -186,6 +186,24 @@
 	}
 }
 
+// What was read from a connection before its close, which has been decided: a new call is refused, word of
+// one that stands already is no call and wants no answer.
+func TestASetUpBehindAShutIsRefused(t *testing.T) {
+	r := newRig(t, direct(1))
+	r.in(CallerDown{1})
+	r.call(1, setUp(7, 1))
+	at := setUp(8, 1)
+	for i := range at.Params {
+		if at.Params[i].Code == isup.Figures {
+			at.Params[i].Value = []byte("dest:1;width:1;via:-1;at:s-1")
+		}
+	}
+	r.call(1, at)
+	if r.said(1, 7) != "12/42" || r.said(1, 8) != "" {
+		t.Errorf("said %q and %q", r.said(1, 7), r.said(1, 8))
+	}
+}
+
 func TestOneConnectionHoldsOnlySoManyOpenSetUps(t *testing.T) {
 	r := newRig(t, direct(1))
 	for id := uint64(1); id <= 6; id++ {
--- a/internal/interwork/peer.go
+++ b/internal/interwork/peer.go
@@ -132,8 +132,8 @@
 }
 
 // served tells whether a number is an exchange's: one that was ever listed, or one of the controllers'
-// own exchanges; any, while no list was told. Whether it can be reached now is the module's to say: one that is off the list for
-// a while is no fault of the caller, who may come back.
+// own exchanges; any, while no list was told. Whether it can be reached now is the module's to say:
+// one that is off the list for a while is no fault of the caller, who may come back.
 func (c *Core) served(cell int) bool {
 	return cell >= 0 && (c.cells[cell] || len(c.cells) == 0 || !c.cfg.Settings.Pools && cell < c.cfg.Settings.Controllers)
 }
