--- a/internal/node/life_test.go
+++ b/internal/node/life_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"log/slog"
 	"net"
 	"os"
 	"strings"
@@ -22,17 +21,12 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.t.Fatal(err)
-	}
-	b.addr = ln.Addr().String()
 	hup, term := make(chan os.Signal, 4), make(chan os.Signal, 4)
 	for _, s := range before {
 		term <- s
 	}
 	ended = make(chan error, 1)
-	n := newNode(cfg, ln, slog.New(slog.DiscardHandler))
+	n := b.node(cfg)
 	go func() { ended <- n.run(hup, term, func() (*Config, error) { return parse([]byte(raw)) }) }()
 	b.t.Cleanup(func() {
 		select {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -201,12 +201,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	b.addr = ln.Addr().String()
-	n := newNode(cfg, ln, slog.New(slog.DiscardHandler))
+	n := b.node(cfg)
 	go func() { b.ended <- n.run(b.hup, b.term, func() (*Config, error) { return Read(env) }) }()
 	t.Cleanup(func() {
 		b.leave()
@@ -214,6 +209,17 @@
 	return b
 }
 
+// node is one that listens and does not run yet.
+func (b *bed) node(cfg *Config) *Node {
+	b.t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.addr = ln.Addr().String()
+	return newNode(cfg, ln, slog.New(slog.DiscardHandler))
+}
+
 func (b *bed) write(resolver string) {
 	if err := os.WriteFile(b.file, fmt.Appendf(nil, platform, resolver, b.x.ln.Addr()), 0o600); err != nil {
 		b.t.Fatal(err)
--- a/internal/node/order_test.go
+++ b/internal/node/order_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"log/slog"
-	"net"
 	"testing"
 	"time"
 
@@ -28,12 +26,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	b.addr = ln.Addr().String()
-	g := &gated{newNode(cfg, ln, slog.New(slog.DiscardHandler)), t, b}
+	g := &gated{b.node(cfg), t, b}
 	g.step(interwork.Listed{Complete: true, Changes: cfg.List.Entries()})
 	g.wg.Go(g.accept)
 	t.Cleanup(func() {
