--- a/review/_standin/case_older_list.go
+++ b/review/_standin/case_older_list.go
@@ -2,13 +2,15 @@
 
 import (
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"time"
 )
 
 func init() { cases["older-list"] = olderList }
 
 // olderList: two exchanges drain in turn, and the controller is told. Some seconds later the resolver's
-// answers bring an older list for a while. Rule: nothing new goes to an exchange later than 250 ms + 50 ms
+// answers bring an older list for a while; with SHARE=0.5, for 8 s that share of them does, at random. Rule: nothing new goes to an exchange later than 250 ms + 50 ms
 // after the controller was told that it drains.
 func olderList(w *world) int {
 	const (
@@ -39,14 +41,18 @@
 		drains = append(drains, drain{x, told})
 		time.Sleep(2 * time.Second)
 		if w.trouble {
-			until := time.Now().Add(spell)
+			length, share := spell, 1.0
+			if s, err := strconv.ParseFloat(os.Getenv("SHARE"), 64); err == nil {
+				length, share = 8*time.Second, s
+			}
+			until := time.Now().Add(length)
 			w.resolver.setOlder(func() *version {
-				if time.Now().Before(until) {
+				if time.Now().Before(until) && w.random.Float64() < share {
 					return before
 				}
 				return nil
 			})
-			w.rec.say("for %v the answers bring the list of event %d", spell, before.serial)
+			w.rec.say("for %v a share of %.2f of the answers brings the list of event %d", length, share, before.serial)
 		}
 		time.Sleep(8 * time.Second)
 	}
--- a/review/_standin/exchange.go
+++ b/review/_standin/exchange.go
@@ -45,10 +45,10 @@
 	circuits int
 	listener net.Listener
 	proxy    *proxy
-	setUp    func() time.Duration             // time from a set-up to its answer
-	holding  func() time.Duration             // from the answer to the release
-	describe func(callID string) string       // description in the answer
-	wrote    func(c *exchangeConn, r release) // called after a release was written
+	setUp    func() time.Duration                  // time from a set-up to its answer
+	holding  func() time.Duration                  // from the answer to the release
+	describe func(callID string) string            // description in the answer
+	spoil    func(id, message, body string) string // changes an answer on its way, or nil
 
 	mu       sync.Mutex
 	conns    []*exchangeConn
@@ -229,7 +229,11 @@
 	state := x.linkState()
 	x.mu.Unlock()
 	x.rec.logf("%s: answer %s on connection %d", x.name, id, c.number)
-	c.write(response(200, id, "1 INVITE", state, k.answer))
+	message := response(200, id, "1 INVITE", state, k.answer)
+	if x.spoil != nil {
+		message = x.spoil(id, message, k.answer)
+	}
+	c.write(message)
 }
 
 // end ends a call that stands: the release goes out on the connection of the set-up, otherwise on any
@@ -260,9 +264,6 @@
 	ok := c.write(bye(k.callID, 16))
 	x.rec.logf("%s: release %s on connection %d, written: %v", x.name, k.callID, c.number, ok)
 	c.write(x.groupState())
-	if x.wrote != nil {
-		x.wrote(c, *r)
-	}
 }
 
 // ended handles the end of a connection: its open set-ups are given up, calls that stand go on.
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -55,7 +55,7 @@
 		return failed
 	}
 	defer os.RemoveAll(dir)
-	w := &world{rec: rec, dir: dir, trouble: os.Getenv("TROUBLE") != "0", random: rand.New(rand.NewPCG(1, 2)), stopLoad: make(chan struct{})}
+	w := &world{rec: rec, dir: dir, trouble: os.Getenv("TROUBLE") != "0", random: rand.New(rand.NewPCG(1, uint64(time.Now().UnixNano()))), stopLoad: make(chan struct{})}
 	defer w.stop()
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
