--- a/review/_standin2/cases.go
+++ b/review/_standin2/cases.go
@@ -5,7 +5,6 @@
 func init() {
 	cases["hang"] = hangCase
 	cases["cut"] = cutCase
-	cases["cut-release"] = cutReleaseCase
 	cases["slow-resolver"] = slowResolverCase
 }
 
@@ -28,6 +27,11 @@
 
 // deployWith does the same; each exchange is listed with the address that listed returns.
 func (s *scenario) deployWith(exchanges int, listed func(int, *exchange) string) *deployment {
+	return s.deployWithMemory(exchanges, 192, listed)
+}
+
+// deployWithMemory does the same with a limit of the controller's memory in MB.
+func (s *scenario) deployWithMemory(exchanges, memoryMB int, listed func(int, *exchange) string) *deployment {
 	d := &deployment{}
 	for i := range exchanges {
 		x := s.newExchange(exchangeName(i), i)
@@ -36,7 +40,7 @@
 	}
 	d.resolver = s.newResolver(d.list)
 	d.control = s.newController()
-	d.control.writeConfig(d.list, 1, d.resolver.addr(), 192, 256)
+	d.control.writeConfig(d.list, 1, d.resolver.addr(), memoryMB, 256)
 	d.control.launch()
 	d.caller = s.newCaller("caller", d.control.addr, 0x1000)
 	return d
@@ -186,35 +190,3 @@
 		s.breach("call %016x came to its end %.1f s ago and is not released towards its caller", call.id, time.Since(ended).Seconds())
 	}
 }
-
-// cutReleaseCase: a caller ends its call while the network to the exchange is cut.
-func cutReleaseCase(s *scenario) {
-	var n *network
-	d := s.deployWith(5, func(i int, x *exchange) string {
-		if i != 1 {
-			return x.addr()
-		}
-		n = s.newNetwork(x.addr())
-		return n.addr()
-	})
-	x := d.exchanges[1]
-	x.hold = func(string) time.Duration { return 60 * time.Second }
-	time.Sleep(time.Second)
-	call := d.caller.setUp("shared-solve", 3*time.Second, figures(1, 2))
-	time.Sleep(2 * time.Second)
-	if state := d.caller.state(call); !state.stands() {
-		s.cannotRun("the call does not stand")
-	}
-	if s.trouble {
-		n.begin()
-		time.AfterFunc(6*time.Second, n.end)
-	}
-	time.Sleep(500 * time.Millisecond)
-	d.caller.giveUp(call)
-	time.Sleep(20 * time.Second)
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.standing[callName(call.id)] != nil {
-		s.breach("call %016x was ended by its caller %.1f s ago and still stands at the exchange", call.id, 20.0)
-	}
-}
--- a/review/_standin2/exchange.go
+++ b/review/_standin2/exchange.go
@@ -137,6 +137,14 @@
 	x.hung = make(chan struct{})
 }
 
+// noCircuits lets the group to the exchange have no free circuit from now on.
+func (x *exchange) noCircuits() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.circuits = 0
+	x.notify(x.conns...)
+}
+
 func (x *exchange) resume() {
 	x.s.note("%s goes on", x.name)
 	x.mu.Lock()
--- a/review/_standin2/flood.go
+++ b/review/_standin2/flood.go
@@ -53,10 +53,7 @@
 	const rude, atOnce, length = 30, 900, 20 * time.Second
 	d := s.deploy(5)
 	// There is no group of circuits to exchange 2, which the bad clients call.
-	d.exchanges[2].mu.Lock()
-	d.exchanges[2].circuits = 0
-	d.exchanges[2].notify(d.exchanges[2].conns...)
-	d.exchanges[2].mu.Unlock()
+	d.exchanges[2].noCircuits()
 	for _, x := range d.exchanges {
 		x.hold = func(string) time.Duration { return 4 * time.Second }
 	}
--- a/review/_standin2/resolver.go
+++ b/review/_standin2/resolver.go
@@ -38,6 +38,7 @@
 	mu     sync.Mutex
 	serial int
 	list   []entry
+	silent bool              // answers nothing
 	delay  time.Duration     // from a query to its answer
 	told   map[int]time.Time // when the first answer with a serial was sent
 }
@@ -71,6 +72,14 @@
 	return r.told[serial]
 }
 
+// setSilent makes the resolver answer nothing, or answer again.
+func (r *resolver) setSilent(silent bool) {
+	r.s.note("resolver: silent %v", silent)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = silent
+}
+
 func (r *resolver) setDelay(delay time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -89,8 +98,11 @@
 			continue
 		}
 		r.mu.Lock()
-		delay := r.delay
+		delay, silent := r.delay, r.silent
 		r.mu.Unlock()
+		if silent {
+			continue
+		}
 		if delay == 0 {
 			r.answer(&query, from)
 			continue
--- a/review/_standin2/search.go
+++ b/review/_standin2/search.go
@@ -13,6 +13,7 @@
 // treats badly; HANG=1 and CUT=1 let exchanges hang and the network be cut.
 func init() {
 	cases["chaos"], cases["leave"], cases["kill"], cases["many"] = chaosCase, leaveChaos, killChaos, manyCase
+	cases["replace"], cases["cut-release"] = replaceCase, cutReleaseCase
 }
 
 // chaosCase plays random disruptions; a search, no case.
@@ -306,3 +307,73 @@
 	}
 	s.note("%d stood, %d cut, %d refused", stood, cut, refused)
 }
+
+// replaceCase: an exchange is replaced by a new one at its address while the resolver is silent. GAP is the time
+// in milliseconds in which nothing listens there.
+func replaceCase(s *scenario) {
+	gap, _ := strconv.Atoi(os.Getenv("GAP"))
+	d := s.deploy(5)
+	old := d.exchanges[1]
+	old.hold = func(string) time.Duration { return 30 * time.Second }
+	time.Sleep(time.Second)
+	var calls []*callerCall
+	for range 4 {
+		calls = append(calls, d.caller.setUp("grid-fetch", 3*time.Second, figures(1, 1)))
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	for _, call := range calls {
+		if state := d.caller.state(call); !state.stands() {
+			s.cannotRun("call %016x does not stand", call.id)
+		}
+	}
+	if s.trouble {
+		d.resolver.setSilent(true)
+		time.AfterFunc(14*time.Second, func() { d.resolver.setSilent(false) })
+	}
+	time.Sleep(time.Second)
+	addr := old.addr()
+	old.stop()
+	stopped := time.Now()
+	time.Sleep(time.Duration(gap) * time.Millisecond)
+	x := s.newExchangeAt(addr, "f-00c41f7a", 1)
+	d.resolver.change("exchange 1 is another one", with(d.list, 1, func(e *entry) { e.name, e.bornMs = x.name, time.Now().UnixMilli() }))
+	time.Sleep(9 * time.Second)
+	for _, call := range calls {
+		if state := d.caller.state(call); state.releasedAt.IsZero() || state.releasedAt.After(stopped.Add(8*time.Second+slack)) {
+			s.breach("call %016x was cut %.1f s ago and is not released towards its caller", call.id, time.Since(stopped).Seconds())
+		}
+	}
+}
+
+// cutReleaseCase: a caller ends its call while the network to the exchange is cut.
+func cutReleaseCase(s *scenario) {
+	var n *network
+	d := s.deployWith(5, func(i int, x *exchange) string {
+		if i != 1 {
+			return x.addr()
+		}
+		n = s.newNetwork(x.addr())
+		return n.addr()
+	})
+	x := d.exchanges[1]
+	x.hold = func(string) time.Duration { return 60 * time.Second }
+	time.Sleep(time.Second)
+	call := d.caller.setUp("shared-solve", 3*time.Second, figures(1, 2))
+	time.Sleep(2 * time.Second)
+	if state := d.caller.state(call); !state.stands() {
+		s.cannotRun("the call does not stand")
+	}
+	if s.trouble {
+		n.begin()
+		time.AfterFunc(6*time.Second, n.end)
+	}
+	time.Sleep(500 * time.Millisecond)
+	d.caller.giveUp(call)
+	time.Sleep(20 * time.Second)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.standing[callName(call.id)] != nil {
+		s.breach("call %016x was ended by its caller %.1f s ago and still stands at the exchange", call.id, 20.0)
+	}
+}
