--- a/review/_standin2/controller.go
+++ b/review/_standin2/controller.go
@@ -111,9 +111,6 @@
 		s.cannotRun("%v", err)
 	}
 	line := s.runLine()
-	if os.Getenv("REVIEW_DEBUG") != "" {
-		line += " --log debug"
-	}
 	c.cmd = exec.Command("/bin/sh", "-c", line)
 	c.cmd.Dir = s.root
 	c.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+c.config, "ROUTER_LISTEN="+c.addr, "ROUTER_NAME="+c.name, "TMPDIR="+tmp)
@@ -134,9 +131,6 @@
 	}()
 	s.atEnd(func() {
 		c.ending = true
-		if os.Getenv("REVIEW_DEBUG") != "" {
-			_ = os.WriteFile(fmt.Sprintf("/tmp/review2-controller-%d.log", os.Getpid()), []byte(c.logText()), 0o644)
-		}
 		_ = cmd.Process.Kill() // it may have ended
 		<-exited
 	})
