Releases sent on a connection whose close the exchange missed reach callers

Cause: one link is opened for each lost one and taken for "the next one opened". An exchange that missed the close, as this end closed it during the cut, sends the release on the dead connection later and repeats it on the next one opened, which never came.

Change: closes that the exchange may not have noticed are told apart from losses it knows of (transport.Conn.PeerClosed, LinkDown.Unconfirmed). After one, another link is opened every 4 s, in place of the last, until the calls from before are over.

TestReleaseSentOnUnnoticedCloseReachesCaller and TestOnlyLinkIsReopenedAtTheLimit failed with the reopening switched off.

--- a/internal/interwork/attempt.go
+++ b/internal/interwork/attempt.go
@@ -84,7 +84,7 @@
 func (c *Core) sendSetUp(attempt *callAttempt, link *peerLink) {
 	attempt.link = link
 	link.pending = append(link.pending, attempt)
-	link.lastUsedAt = c.now
+	link.lastUsedAt, link.usedForCall = c.now, true
 	c.log(slog.LevelDebug, "set-up", "call", attempt.call.callID, "nth", attempt.number, "exchange", attempt.peer.Name,
 		"link", link.id, "within", attempt.deadline-c.now)
 	attempt.invite = attempt.call.newInvite(attempt.deadline - c.now)
--- a/internal/interwork/interwork.go
+++ b/internal/interwork/interwork.go
@@ -53,8 +53,9 @@
 	}
 	// LinkDown reports that a connection to an exchange was closed or could not be established.
 	LinkDown struct {
-		Link    LinkID
-		Refused bool // the exchange refused the connection
+		Link        LinkID
+		Refused     bool // the exchange refused the connection
+		Unconfirmed bool // this end closed the connection, and the exchange may not have noticed
 	}
 	// ExchangeListUpdate brings the whole exchange list or changes to it.
 	ExchangeListUpdate struct {
@@ -182,6 +183,7 @@
 	setUpsPerLink        = 4                      // attempts in flight on one link before another link is dialed
 	exclusiveLinkPeriod  = 10 * time.Second       // no shared links after one was lost with attempts in flight
 	maxLinksToPeer       = 12
+	reopenInterval       = 4 * time.Second        // half of the time within which callers have to learn of a release
 	maxIdleCloseMargin   = time.Second            // idle links are closed up to this long before the exchange would
 	minConnectRetry      = 100 * time.Millisecond // between attempts to connect to an exchange
 	maxConnectRetry      = time.Second
--- a/internal/interwork/links.go
+++ b/internal/interwork/links.go
@@ -21,6 +21,7 @@
 	lastHeardAt time.Duration  // last message, or connect
 	pingSentAt  time.Duration  // time of the unanswered ping, 0 if none
 	lastUsedAt  time.Duration  // last set-up sent, or connect
+	usedForCall bool           // a set-up was sent on it
 	dialedAt    time.Duration
 }
 
@@ -64,6 +65,7 @@
 			c.checkLiveness(link)
 		}
 	}
+	c.scheduleReopening(peer)
 	counts := countLinks(peer)
 	switch {
 	case peer.refusingSince > 0 && c.now-peer.refusingSince > refusingTimeout && counts.up == 0:
@@ -89,7 +91,7 @@
 	case linkCount == 0:
 		return c.closeIdlestLink(len(peer.waiting) > 0)
 	default:
-		return c.needsNewLink(peer) && c.closeIdlestLink(false)
+		return c.needsNewLink(peer) && (c.closeIdlestLink(false) || c.closeIdleLinkOf(peer))
 	}
 }
 
@@ -129,19 +131,6 @@
 	}
 }
 
-// noteLostLink records that a link ended on which a release by the exchange may have been lost.
-func (c *Core) noteLostLink(peer *peerExchange) {
-	if len(peer.calls) > 0 {
-		peer.lastLinkBefore = c.lastLinkID
-	}
-}
-
-// needsNewLink reports whether a link has to be opened although others are up: exchanges send a release whose
-// link was lost on the next one that is opened, and on no other.
-func (c *Core) needsNewLink(peer *peerExchange) bool {
-	return peer.lastLinkBefore > 0 && !slices.ContainsFunc(peer.links, func(link *peerLink) bool { return link.id > peer.lastLinkBefore })
-}
-
 // nearIdleTimeout reports whether a link has been idle so long that the exchange may be about to close it.
 // The outcome of a set-up that crosses the close would be unknown.
 func (c *Core) nearIdleTimeout(link *peerLink) bool {
@@ -161,7 +150,7 @@
 	var idlest *peerLink
 	for _, peer := range c.peers {
 		for _, link := range peer.links {
-			if link.up && len(link.pending) == 0 && link.pingSentAt == 0 && (forSetUp || len(peer.links) > 1) &&
+			if link.isIdle() && (forSetUp || len(peer.links) > 1) &&
 				(idlest == nil || link.lastUsedAt < idlest.lastUsedAt) {
 				idlest = link
 			}
@@ -228,9 +217,7 @@
 	}
 	peer := link.peer
 	link.up, link.lastHeardAt, link.lastUsedAt = true, c.now, c.now
-	if link.id > peer.lastLinkBefore {
-		peer.lastLinkBefore = 0
-	}
+	c.noteLinkOpened(link)
 	peer.lastHeardAt, peer.connectFailures, peer.refusingSince, peer.retryAt = c.now, 0, 0, 0
 	if peer.State != routing.InService {
 		c.emit(HoldSetUps{link.id, true})
@@ -251,7 +238,13 @@
 // handleLinkDown handles the end of a link or a failed dial. If no link is up after a failed dial, the
 // waiting attempts end.
 func (c *Core) handleLinkDown(in LinkDown) {
-	delete(c.closingLinks, in.Link)
+	if peer := c.closingLinks[in.Link]; peer != nil {
+		delete(c.closingLinks, in.Link)
+		if in.Unconfirmed {
+			c.noteLostLink(peer, true)
+			c.maintainLinks(peer)
+		}
+	}
 	link := c.links[in.Link]
 	if link == nil {
 		return
@@ -259,7 +252,7 @@
 	peer, wasUp := link.peer, link.up
 	c.removeLink(link)
 	if wasUp {
-		c.noteLostLink(peer)
+		c.noteLostLink(peer, in.Unconfirmed)
 	} else {
 		peer.connectFailures++
 		peer.retryAt = c.now + c.retry.Delay(peer.connectFailures)
@@ -291,8 +284,9 @@
 	switch {
 	case link.up && idle:
 		c.closingLinks[link.id] = link.peer
+		c.noteIdleClose(link)
 	case link.up:
-		c.noteLostLink(link.peer)
+		c.noteLostLink(link.peer, true)
 	}
 	c.removeLink(link)
 	c.emit(CloseLink{Link: link.id, Reason: reason, Idle: idle})
--- a/internal/interwork/peer.go
+++ b/internal/interwork/peer.go
@@ -29,6 +29,11 @@
 	refusingSince   time.Duration // start of the current run of refused connections, 0 if none
 	retryAt         time.Duration // no connection attempt before
 	lastLinkBefore  LinkID        // the last link dialed before one ended on which a release may have been lost, 0 if none
+
+	// unconfirmedCloseAt is when a link was last closed without a sign that the exchange has noticed, 0 if
+	// none or if no established call depends on it any more.
+	unconfirmedCloseAt time.Duration
+	nextReopenAt       time.Duration // when to open a further link after such a close
 }
 
 // byeRequest is a BYE to be sent.
--- a/internal/interwork/releases_test.go
+++ b/internal/interwork/releases_test.go
@@ -151,3 +151,87 @@
 		t.Errorf("module received %+v", ended)
 	}
 }
+
+// loseUnnoticed lets the core close a link whose ping is not answered, as in a cut of the network, in which the
+// exchange does not notice the close.
+func (h *testHarness) loseUnnoticed(link LinkID) {
+	for h.core.links[link] != nil {
+		h.now += maintenanceInterval
+		h.handle(Tick{})
+		h.answerPings(link)
+	}
+	h.completeDials()
+}
+
+// releaseTimeLimit is the time within which a caller has to learn that its call is over.
+const releaseTimeLimit = 8 * time.Second
+
+// Guards against a release that never reaches its caller: the exchange sent it on a link that was closed during
+// a cut of the network, some time after the replacement of that link was opened.
+func TestReleaseSentOnUnnoticedCloseReachesCaller(t *testing.T) {
+	for name, lose := range map[string]func(h *testHarness, link LinkID){
+		"ping not answered": (*testHarness).loseUnnoticed,
+		"write not finished": func(h *testHarness, link LinkID) {
+			h.handle(LinkDown{Link: link, Unconfirmed: true})
+			h.completeDials()
+		},
+		"idle close not answered": func(h *testHarness, link LinkID) {
+			h.core.closeLink(h.core.links[link], "idle")
+			h.handle(LinkDown{Link: link, Unconfirmed: true})
+			h.completeDials()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, newDirectModule(1))
+			lose(h, h.establishCall(1, 7))
+			h.advance(30 * time.Second)
+			for range 3 { // the release is sent at any time and lost
+				dials := h.dialsTo(1)
+				h.advance(1300 * time.Millisecond)
+				lostAt := h.now
+				for h.dialsTo(1) == dials && h.now-lostAt < releaseTimeLimit {
+					h.advance(maintenanceInterval)
+				}
+				if h.dialsTo(1) == dials {
+					t.Fatalf("no link was opened within %v of a release that was lost", releaseTimeLimit)
+				}
+			}
+			h.advance(2 * maintenanceInterval)
+			if left := len(h.core.peersByName["s-1"].links); left != 1 {
+				t.Errorf("%d links are left, want one", left)
+			}
+			h.handle(LinkMessage{h.core.lastLinkID, newBye(7, 16)})
+			if got := h.sentToCaller(1, 7); got != "9 12/16" {
+				t.Errorf("caller received %q, want its answer and the release", got)
+			}
+		})
+	}
+}
+
+// Connections at exchanges are scarce: links are opened again only as long as a call depends on it, and not for
+// calls that were set up after the loss.
+func TestLinksAreReopenedOnlyForCallsFromBeforeTheClose(t *testing.T) {
+	h := newHarness(t, newDirectModule(1))
+	h.loseUnnoticed(h.establishCall(1, 7))
+	h.advance(maintenanceInterval)
+	h.establishCall(1, 8)
+	h.handle(LinkMessage{h.firstLinkUp(1), newBye(7, 16)})
+	dials := h.dialsTo(1)
+	h.advance(5 * reopenInterval)
+	if got := h.dialsTo(1) - dials; got != 0 {
+		t.Errorf("%d dials, want none", got)
+	}
+}
+
+// Guards against a lost release where no more links are allowed and each exchange has one: it is closed and
+// another one opened.
+func TestOnlyLinkIsReopenedAtTheLimit(t *testing.T) {
+	h := newHarness(t, newDirectModule(1))
+	h.loseUnnoticed(h.establishCall(1, 7))
+	h.core.cfg.MaxLinks = len(h.core.links)
+	dials := h.dialsTo(1)
+	h.advance(releaseTimeLimit)
+	if got := h.dialsTo(1) - dials; got == 0 || len(h.core.links) > h.core.cfg.MaxLinks {
+		t.Errorf("%d dials, %d links, %d are allowed", got, len(h.core.links), h.core.cfg.MaxLinks)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -478,7 +478,7 @@
 func (h *linkHandler) Unsent(_ *linkConn, m *sip.Message) {
 	h.node.enqueue(interwork.Unsent{Link: h.id, Msg: m})
 }
-func (h *linkHandler) Closed(_ *linkConn, reason error) {
+func (h *linkHandler) Closed(c *linkConn, reason error) {
 	h.node.log.Debug("link over", "link", h.id, "why", reason)
-	h.node.enqueue(interwork.LinkDown{Link: h.id})
+	h.node.enqueue(interwork.LinkDown{Link: h.id, Unconfirmed: !c.PeerClosed()})
 }
--- a/internal/transport/close_test.go
+++ b/internal/transport/close_test.go
@@ -128,3 +128,30 @@
 		peer.Close()
 	})
 }
+
+// The owner of a connection has to know whether the peer may still believe that it is open.
+func TestPeerClosedTellsWhichSideEndedTheConnection(t *testing.T) {
+	for name, test := range map[string]struct {
+		end  func(c *Conn[*signal.Message], peer *net.TCPConn)
+		want bool
+	}{
+		"closed by the peer": {func(_ *Conn[*signal.Message], peer *net.TCPConn) { peer.Close() }, true},
+		"reset by the peer": {func(_ *Conn[*signal.Message], peer *net.TCPConn) {
+			_ = peer.SetLinger(0) // fails only on a closed connection
+			peer.Close()
+		}, true},
+		"closed by this side":                {func(c *Conn[*signal.Message], _ *net.TCPConn) { c.Close(ErrClosed) }, false},
+		"half-closed, the peer stays":        {func(c *Conn[*signal.Message], _ *net.TCPConn) { c.FlushAndClose(ErrClosed) }, false},
+		"half-closed, then closed by it too": {func(c *Conn[*signal.Message], peer *net.TCPConn) { c.FlushAndClose(ErrClosed); peer.Close() }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			local, peer := newTCPPair(t)
+			c := Start(local, Options[*signal.Message]{Reader: signal.NewReadFunc(signal.Limits{}), LingerTimeout: 300 * time.Millisecond}, &recorder{})
+			test.end(c, peer)
+			<-c.Done()
+			if got := c.PeerClosed(); got != test.want {
+				t.Errorf("PeerClosed is %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -5,8 +5,10 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"dahliaspindle/internal/capture"
@@ -92,7 +94,8 @@
 	closed                 bool
 	closeOnEmpty           bool // close once the queue is written
 	closeReason            error
-	runningLoops           int // goroutines that have not ended
+	peerClosed             bool // the peer ended the connection before this side did
+	runningLoops           int  // goroutines that have not ended
 	wakeWriter             chan struct{}
 	done                   chan struct{}
 }
@@ -280,12 +283,33 @@
 			}
 			c.handler.Unreadable(c, recoverable)
 		default:
-			c.Close(err)
+			c.closeAfterError(err)
 			return
 		}
 	}
 }
 
+// closeAfterError closes the connection after a read or a write has failed.
+func (c *Conn[M]) closeAfterError(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peerClosed = c.peerClosed || !c.closed && endedByPeer(err)
+	c.closeLocked(err)
+}
+
+// endedByPeer reports whether an error tells that the peer has closed or reset the connection.
+func endedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// PeerClosed reports whether the peer has ended the connection. If it has not, it may not have noticed that
+// this side closed it.
+func (c *Conn[M]) PeerClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.peerClosed
+}
+
 func (c *Conn[M]) writeLoop() {
 	var buf []byte
 	var messageEnds []int // end of each message in buf
@@ -341,7 +365,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				err = ErrClosed
 			}
-			c.Close(err)
+			c.closeAfterError(err)
 			return
 		}
 		c.mu.Lock()
