A caller's release that was lost with its connection is sent again

Cause: a BYE was kept only while no link was up, and forgotten once it was handed to one. With no other call there the link was not even tested.

Change: each link keeps its BYEs until the 200, or the answer to a ping sent after them, arrives; one unanswered for a second has the link pinged. What a lost link keeps is sent again, except for calls set up at the exchange again.

--- a/internal/interwork/attempt.go
+++ b/internal/interwork/attempt.go
@@ -172,6 +172,9 @@
 			}
 		case sip.Options:
 			link.pingSentAt, link.suspect = 0, false
+			link.confirmByesBeforePing()
+		case sip.Bye:
+			link.confirmBye(msg.CallID)
 		}
 		return
 	}
--- /dev/null
+++ b/internal/interwork/byes.go
@@ -0,0 +1,94 @@
+package interwork
+
+import (
+	"slices"
+	"time"
+
+	"dahliaspindle/internal/sip"
+)
+
+// byeRequest is a BYE to be sent.
+type byeRequest struct {
+	id     uint64
+	callID string
+	cause  byte
+}
+
+// sentBye is a BYE that was sent on a link and may not have arrived.
+type sentBye struct {
+	byeRequest
+	sentAt     time.Duration
+	beforePing bool // sent before the ping that is unanswered
+}
+
+// maxPendingByes limits the BYEs that are kept for an unreachable exchange, and those on one link that may not
+// have arrived.
+const maxPendingByes = 4096
+
+// releaseAtPeer sends a BYE to an exchange, at once or when a link is up. BYEs beyond maxPendingByes are
+// dropped and counted.
+func (c *Core) releaseAtPeer(peer *peerExchange, id uint64, callID string, cause byte) {
+	if peer == nil || peer.removed {
+		return
+	}
+	bye := byeRequest{id, callID, cause}
+	if link := c.pickLink(peer, nil); link != nil {
+		c.sendBye(link, bye)
+	} else if len(peer.pendingByes) < maxPendingByes {
+		peer.pendingByes = append(peer.pendingByes, bye)
+	} else {
+		c.Stats.ByesShed++
+	}
+}
+
+// sendBye sends a BYE on a link and keeps it until it has arrived.
+func (c *Core) sendBye(link *peerLink, bye byeRequest) {
+	msg := &sip.Message{
+		Method:     sip.Bye,
+		URI:        "sip:" + bye.callID + "@net",
+		CallID:     bye.callID,
+		CSeq:       2,
+		CSeqMethod: sip.Bye,
+	}
+	c.emit(SendToExchange{link.id, msg.Add("Reason", sip.FormatReason(bye.cause)), 1 << 62})
+	if len(link.unconfirmedByes) == maxPendingByes {
+		c.Stats.ByesShed++
+		link.unconfirmedByes = link.unconfirmedByes[1:]
+	}
+	link.unconfirmedByes = append(link.unconfirmedByes, sentBye{byeRequest: bye, sentAt: c.now})
+}
+
+// confirmBye records that a BYE was answered.
+func (link *peerLink) confirmBye(callID string) {
+	link.unconfirmedByes = slices.DeleteFunc(link.unconfirmedByes, func(bye sentBye) bool { return bye.callID == callID })
+}
+
+// confirmByesBeforePing records that a ping was answered: what was sent before it on the link has arrived.
+func (link *peerLink) confirmByesBeforePing() {
+	link.unconfirmedByes = slices.DeleteFunc(link.unconfirmedByes, func(bye sentBye) bool { return bye.beforePing })
+}
+
+// markByesBeforePing records that a ping is sent after the BYEs that were sent so far.
+func (link *peerLink) markByesBeforePing() {
+	for i := range link.unconfirmedByes {
+		link.unconfirmedByes[i].beforePing = true
+	}
+}
+
+// isByeOverdue reports whether a BYE has been unanswered for so long that the link must be pinged.
+func (c *Core) isByeOverdue(link *peerLink) bool {
+	return len(link.unconfirmedByes) > 0 && c.now-link.unconfirmedByes[0].sentAt >= pingDelayEstablished
+}
+
+// resendByes sends the BYEs again that may not have arrived on a link that has ended, except those of calls that
+// have been set up at the exchange again.
+func (c *Core) resendByes(link *peerLink) {
+	byes := link.unconfirmedByes
+	link.unconfirmedByes = nil
+	for _, bye := range byes {
+		attempt := c.attempts[bye.id]
+		if link.peer.calls[bye.id] == nil && (attempt == nil || attempt.peer != link.peer) {
+			c.releaseAtPeer(link.peer, bye.id, bye.callID, bye.cause)
+		}
+	}
+}
--- a/internal/interwork/links.go
+++ b/internal/interwork/links.go
@@ -23,6 +23,8 @@
 	lastUsedAt  time.Duration  // last set-up sent, or connect
 	usedForCall bool           // a set-up was sent on it
 	dialedAt    time.Duration
+
+	unconfirmedByes []sentBye // oldest first
 }
 
 // linkCounts describes the links to an exchange and the set-ups that need them.
@@ -162,8 +164,8 @@
 	return idlest != nil
 }
 
-// checkLiveness pings a quiet link that has attempts in flight, is suspect or leads to an exchange with
-// established calls, and closes a link whose ping was not answered in time.
+// checkLiveness pings a link with an unanswered BYE and a quiet link that has attempts in flight, is suspect or
+// leads to an exchange with established calls, and closes a link whose ping was not answered in time.
 func (c *Core) checkLiveness(link *peerLink) {
 	if link.pingSentAt > 0 {
 		if c.now-link.pingSentAt >= pingTimeout {
@@ -172,6 +174,10 @@
 		}
 		return
 	}
+	if c.isByeOverdue(link) {
+		c.sendPing(link)
+		return
+	}
 	pingDelay := pingDelayPending
 	if len(link.pending) == 0 && !link.suspect {
 		if pingDelay = pingDelayEstablished; len(link.peer.calls) == 0 {
@@ -189,6 +195,7 @@
 		return
 	}
 	link.pingSentAt = c.now
+	link.markByesBeforePing()
 	c.Stats.Tests++
 	c.emit(SendToExchange{link.id, &sip.Message{
 		Method:     sip.Options,
@@ -271,11 +278,12 @@
 	c.maintainLinks(peer)
 }
 
-// removeLink removes a link from the tables.
+// removeLink removes a link from the tables. BYEs that may have been lost with it are sent again.
 func (c *Core) removeLink(link *peerLink) {
 	delete(c.links, link.id)
 	link.peer.links = slices.DeleteFunc(link.peer.links, func(other *peerLink) bool { return other == link })
 	link.up = false
+	c.resendByes(link)
 }
 
 // closeLink closes a link. The attempts in flight on it end with an unknown outcome at the exchange.
--- a/internal/interwork/peer.go
+++ b/internal/interwork/peer.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"dahliaspindle/internal/isup"
-	"dahliaspindle/internal/sip"
 	"dahliaspindle/internal/srvlist"
 	"dahliaspindle/routing"
 )
@@ -36,16 +35,6 @@
 	nextReopenAt       time.Duration // when to open a further link after such a close
 }
 
-// byeRequest is a BYE to be sent.
-type byeRequest struct {
-	id     uint64
-	callID string
-	cause  byte
-}
-
-// maxPendingByes limits the BYEs that are kept for an unreachable exchange.
-const maxPendingByes = 4096
-
 // withoutRemoved filters out, in place, the peers that were removed.
 func withoutRemoved(peers []*peerExchange) []*peerExchange {
 	return slices.DeleteFunc(peers, func(peer *peerExchange) bool { return peer.removed })
@@ -160,31 +149,3 @@
 		c.log(slog.LevelWarn, "calls over", "exchange", peer.Name, "why", reason, "calls", len(over))
 	}
 }
-
-// releaseAtPeer sends a BYE to an exchange, at once or when a link is up. BYEs beyond maxPendingByes are
-// dropped and counted.
-func (c *Core) releaseAtPeer(peer *peerExchange, id uint64, callID string, cause byte) {
-	if peer == nil || peer.removed {
-		return
-	}
-	bye := byeRequest{id, callID, cause}
-	if link := c.pickLink(peer, nil); link != nil {
-		c.sendBye(link, bye)
-	} else if len(peer.pendingByes) < maxPendingByes {
-		peer.pendingByes = append(peer.pendingByes, bye)
-	} else {
-		c.Stats.ByesShed++
-	}
-}
-
-// sendBye sends a BYE on a link.
-func (c *Core) sendBye(link *peerLink, bye byeRequest) {
-	msg := &sip.Message{
-		Method:     sip.Bye,
-		URI:        "sip:" + bye.callID + "@net",
-		CallID:     bye.callID,
-		CSeq:       2,
-		CSeqMethod: sip.Bye,
-	}
-	c.emit(SendToExchange{link.id, msg.Add("Reason", sip.FormatReason(bye.cause)), 1 << 62})
-}
--- a/internal/interwork/releases_test.go
+++ b/internal/interwork/releases_test.go
@@ -155,7 +155,11 @@
 // loseUnnoticed lets the core close a link whose ping is not answered, as in a cut of the network, in which the
 // exchange does not notice the close.
 func (h *testHarness) loseUnnoticed(link LinkID) {
-	for h.core.links[link] != nil {
+	h.t.Helper()
+	for limit := h.now + 10*time.Second; h.core.links[link] != nil; {
+		if h.now > limit {
+			h.t.Fatal("a link on which nothing arrives is kept")
+		}
 		h.now += maintenanceInterval
 		h.handle(Tick{})
 		h.answerPings(link)
