Callers' connections take turns, so that a flood does not starve the core

Cause: readers share one processor with the core and refused set-ups without ever waiting. Evidence, a trial with the new "inbox" log line: 10 inputs handled and 280,000 set-ups refused in a second, the longest wait 20.5 s. With turns alone the core spent 85 % in the routing module's search of 3,840 waiting calls, and inputs still waited 0.65 s.

Change: 2 inputs of a caller's connection and 16 of a link may wait in the inbox; the connection is not read meanwhile, and refused set-ups take their turn too. From 512 pending set-ups on, each connection may only have its share.

--- a/internal/interwork/caller.go
+++ b/internal/interwork/caller.go
@@ -288,7 +288,7 @@
 		c.Stats.Invalid++
 		c.emit(SendToCaller{conn.id, newRelease(id, isup.InvalidContents)})
 		return
-	case c.listenerClosed, conn.pending >= c.cfg.MaxPendingPerConn, len(c.calls) >= c.cfg.MaxCalls:
+	case c.listenerClosed, c.exceedsPendingShare(conn), len(c.calls) >= c.cfg.MaxCalls:
 		c.rejectCall(conn.id, id)
 		return
 	}
@@ -310,8 +310,7 @@
 		c.Stats.Again++
 	}
 	c.calls[id] = call
-	c.pending++
-	conn.pending++
+	c.addPending(conn)
 	request.ID = call.callID
 	request.Remaining -= max(c.now-in.ReceivedAt, 0)
 	c.notifyModule(request.Call)
@@ -387,6 +386,31 @@
 	}
 }
 
+// exceedsPendingShare reports whether a connection may have no further set-up pending: it has as many as one
+// connection may have or, where too many are pending in all, its share of them.
+func (c *Core) exceedsPendingShare(conn *callerConn) bool {
+	share := c.cfg.MaxPending / max(c.connsWithPending, 1)
+	return conn.pending >= c.cfg.MaxPendingPerConn || c.pending >= c.cfg.MaxPending && conn.pending >= max(share, 1)
+}
+
+// addPending counts a set-up of a connection as pending.
+func (c *Core) addPending(conn *callerConn) {
+	if conn.pending == 0 {
+		c.connsWithPending++
+	}
+	c.pending++
+	conn.pending++
+}
+
+// dropPending removes a set-up of a connection from the pending ones.
+func (c *Core) dropPending(conn *callerConn) {
+	c.pending--
+	conn.pending--
+	if conn.pending == 0 {
+		c.connsWithPending--
+	}
+}
+
 // pendingCalls returns the calls that await a final answer and satisfy a condition, in order of their ids.
 func (c *Core) pendingCalls(matches func(*activeCall) bool) (pending []*activeCall) {
 	for _, call := range c.calls {
@@ -416,8 +440,7 @@
 
 // removePending removes a call from those that await a final answer.
 func (c *Core) removePending(call *activeCall) {
-	c.pending--
-	call.conn.pending--
+	c.dropPending(call.conn)
 	call.conn.quietSince = c.now
 	delete(c.calls, call.id)
 }
--- a/internal/interwork/core_test.go
+++ b/internal/interwork/core_test.go
@@ -1,6 +1,7 @@
 package interwork
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -228,6 +229,32 @@
 	}
 }
 
+// Guards against a core that is slowed down by thousands of waiting calls: beyond a total, each connection may
+// only have its share of the pending set-ups, and one that has fewer is still served.
+func TestPendingSetUpsAreSharedBetweenConnections(t *testing.T) {
+	h := newHarness(t, newDirectModule(1))
+	h.core.cfg.MaxPending, h.core.cfg.MaxPendingPerConn = 12, 9
+	for conn := ConnID(1); conn <= 4; conn++ {
+		h.handle(CallerConnected{conn + 2})
+		for n := range uint64(10) {
+			h.handleCallerMessage(conn+2, newSetUp(uint64(conn)*100+n, 1))
+		}
+	}
+	var pending []int
+	for conn := ConnID(3); conn <= 6; conn++ {
+		pending = append(pending, h.core.conns[conn].pending)
+	}
+	if got := fmt.Sprint(pending); got != "[9 6 4 3]" {
+		t.Errorf("pending set-ups by connection are %s, want 9 of one, then equal shares of 12", got)
+	}
+	h.handle(CallerDisconnected{3})
+	h.handle(CallerDisconnected{4})
+	h.handleCallerMessage(6, newSetUp(7, 1))
+	if got := h.sentToCaller(6, 7); got != "" || h.core.pending != 8 || h.core.connsWithPending != 2 {
+		t.Errorf("received %q, %d pending on %d connections after two have gone, want 8 on 2", got, h.core.pending, h.core.connsWithPending)
+	}
+}
+
 func TestAdoptedCallIsReleasedOnItsLatestConnection(t *testing.T) {
 	h := newHarness(t, newDirectModule(1))
 	adoption := func(id uint64, exchangeName string) *isup.Message {
--- a/internal/interwork/harness_test.go
+++ b/internal/interwork/harness_test.go
@@ -77,6 +77,7 @@
 		MaxLinks:          16,
 		MaxConns:          8,
 		MaxPendingPerConn: 5,
+		MaxPending:        100,
 		MaxCalls:          1000,
 	}, startTime)
 	h.handle(ExchangeListUpdate{Complete: true, Changes: []srvlist.Entry{testEntry(0), testEntry(1), testEntry(2), testEntry(3)}})
--- a/internal/interwork/interwork.go
+++ b/internal/interwork/interwork.go
@@ -159,6 +159,7 @@
 	ExchangeIdleTimeout time.Duration // idle time after which exchanges close a connection, 0 for never
 	MaxConns            int           // connections of callers, 0 for no limit
 	MaxPendingPerConn   int           // pending set-ups on one connection of a caller
+	MaxPending          int           // pending set-ups from which on each connection may only have its share
 	LogAllVerdicts      bool          // log every verdict, not only those that the module marks
 	MaxCalls            int           // pending and established calls
 }
@@ -255,11 +256,12 @@
 	random        *rand.Rand // jitter of the intervals between connection attempts
 	retry         guard.Backoff
 
-	conns      map[ConnID]*callerConn
-	connsByAge []*callerConn // oldest first; closed ones are removed by maintenance
-	calls      map[uint64]*activeCall
-	pending    int                     // calls without a final answer
-	attempts   map[uint64]*callAttempt // in flight or waiting for a link, by call
+	conns            map[ConnID]*callerConn
+	connsByAge       []*callerConn // oldest first; closed ones are removed by maintenance
+	calls            map[uint64]*activeCall
+	pending          int                     // calls without a final answer
+	connsWithPending int                     // connections of callers that have any
+	attempts         map[uint64]*callAttempt // in flight or waiting for a link, by call
 
 	peers         []*peerExchange // in ascending order of their ids
 	listedNumbers map[int]bool    // exchange numbers that were ever listed
--- a/internal/interwork/links_test.go
+++ b/internal/interwork/links_test.go
@@ -23,6 +23,7 @@
 			MaxLinks:          maxLinks,
 			MaxConns:          8,
 			MaxPendingPerConn: 5,
+			MaxPending:        100,
 			MaxCalls:          1000,
 		}, startTime)
 		h := &testHarness{t: t, module: module, now: startTime, core: core}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 const (
 	reservedDescriptors     = 24              // for the listener, the resolver socket and the Go runtime, with a margin
 	maxPendingSetUpsPerConn = 128             // unanswered set-ups on one caller's connection
+	maxPendingSetUps        = 512             // unanswered set-ups from which on connections get equal shares; a controller that gets 190 calls a second has some 250
 	maxCalls                = 1 << 16         // unanswered and established calls
 	inboxCapacity           = 512             // inputs waiting for the core
 	outboxCapacity          = 2048            // messages waiting on one connection
@@ -69,6 +70,7 @@
 	rejectedConns   atomic.Int64 // connections closed right after accept
 	shedSetUps      atomic.Int64 // set-ups refused because the core had fallen behind
 	undelivered     int          // messages that no connection accepted
+	inboxStats      inboxStats
 	stopped         bool
 }
 
@@ -117,6 +119,7 @@
 		ExchangeIdleTimeout: cfg.IdleTimeout,
 		MaxConns:            callerConns,
 		MaxPendingPerConn:   maxPendingSetUpsPerConn,
+		MaxPending:          maxPendingSetUps,
 		MaxCalls:            maxCalls,
 		LogAllVerdicts:      log.Enabled(n.ctx, slog.LevelDebug),
 	}, n.now())
@@ -174,6 +177,8 @@
 // discard releases the resources of an input that the core will not process any more.
 func discard(in interwork.Input) {
 	switch in := in.(type) {
+	case sharedInput:
+		in.share.release()
 	case callerAccepted:
 		in.conn.Close(errShuttingDown)
 		close(in.registered)
@@ -230,6 +235,13 @@
 // process passes one input to the core and carries out the resulting effects.
 func (n *Node) process(in interwork.Input) {
 	switch in := in.(type) {
+	case sharedInput:
+		n.inboxStats.note(n.now() - in.queuedAt)
+		n.process(in.Input)
+		in.share.release()
+		return
+	case setUpShed:
+		return
 	case callerAccepted:
 		n.callers[in.id] = in.conn
 		n.process(interwork.CallerConnected{Conn: in.id})
@@ -252,6 +264,7 @@
 	case interwork.LinkDown:
 		delete(n.links, in.Link)
 	}
+	n.inboxStats.log(n)
 	for _, effect := range n.core.Handle(n.now(), in) {
 		switch effect := effect.(type) {
 		case interwork.SendToCaller:
@@ -331,6 +344,15 @@
 		netConn net.Conn
 		err     error
 	}
+	// sharedInput is an input that takes up a part of its connection's share of the inbox.
+	sharedInput struct {
+		interwork.Input
+		share    *inboxShare
+		queuedAt time.Duration
+	}
+	// setUpShed stands for a set-up that was refused before it reached the core. Its connection
+	// sends the next one only after it was taken from the inbox.
+	setUpShed struct{ interwork.Input }
 )
 
 // acceptCallers accepts callers' connections. It continues when descriptors run out.
@@ -352,10 +374,11 @@
 		if n.callerConnCount.Load() >= n.maxCallerConns {
 			n.rejectedConns.Add(1)
 			netConn.Close()
+			runtime.Gosched() // lets the core run between two of them
 			continue
 		}
 		n.callerConnCount.Add(1)
-		handler := &callerHandler{node: n, id: id, registered: make(chan struct{})}
+		handler := &callerHandler{node: n, id: id, registered: make(chan struct{}), share: newInboxShare(n, maxInputsPerCaller)}
 		conn := transport.Start(netConn, transport.Options[*isup.Message]{
 			Reader:        handler.reader,
 			Outbox:        guard.Outbox{Capacity: outboxCapacity},
@@ -376,6 +399,7 @@
 	node       *Node
 	id         interwork.ConnID
 	registered chan struct{}
+	share      *inboxShare
 }
 
 func (h *callerHandler) reader(netConn net.Conn) func() (*isup.Message, error) {
@@ -397,12 +421,14 @@
 func (h *callerHandler) Message(c *callerConn, m *isup.Message) {
 	receivedAt := h.node.now()
 	h.waitRegistered()
+	h.share.acquire()
 	if interwork.IsNewCall(m) && intake.Admit(guard.NewCall, len(h.node.inbox)) == guard.Shed {
 		h.node.shedSetUps.Add(1)
 		c.Send(interwork.NewRejection(m.CallID, h.node.cfg.ModuleSettings), 0)
+		h.share.enqueue(setUpShed{})
 		return
 	}
-	h.node.enqueue(interwork.CallerMessage{Conn: h.id, ReceivedAt: receivedAt, Msg: m})
+	h.share.enqueue(interwork.CallerMessage{Conn: h.id, ReceivedAt: receivedAt, Msg: m})
 }
 
 // waitRegistered waits until the core knows the connection.
@@ -447,7 +473,7 @@
 		n.process(interwork.LinkDown{Link: result.id, Refused: errors.Is(result.err, syscall.ECONNREFUSED)})
 		return
 	}
-	handler := &linkHandler{node: n, id: result.id}
+	handler := &linkHandler{node: n, id: result.id, share: newInboxShare(n, maxInputsPerLink)}
 	n.links[result.id] = transport.Start(result.netConn, transport.Options[*sip.Message]{
 		Reader:        handler.reader,
 		Outbox:        guard.Outbox{Capacity: outboxCapacity},
@@ -463,8 +489,9 @@
 
 // linkHandler passes the events of a connection to an exchange to the core.
 type linkHandler struct {
-	node *Node
-	id   interwork.LinkID
+	node  *Node
+	id    interwork.LinkID
+	share *inboxShare
 }
 
 func (h *linkHandler) reader(netConn net.Conn) func() (*sip.Message, error) {
@@ -472,7 +499,8 @@
 }
 
 func (h *linkHandler) Message(_ *linkConn, m *sip.Message) {
-	h.node.enqueue(interwork.LinkMessage{Link: h.id, Msg: m})
+	h.share.acquire()
+	h.share.enqueue(interwork.LinkMessage{Link: h.id, Msg: m})
 }
 func (h *linkHandler) Unreadable(*linkConn, transport.RecoverableError) {}
 func (h *linkHandler) Unsent(_ *linkConn, m *sip.Message) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -290,11 +290,16 @@
 	}
 }
 
+// newTestSetUp returns a set-up of a voice call to exchange 1.
+func newTestSetUp(callID uint64, patience string) *isup.Message {
+	return (&isup.Message{Type: isup.SetUp, CallID: callID}).Add(isup.ParamClass, []byte("voice")).Add(isup.ParamPatience, []byte(patience)).
+		Add(isup.ParamNumber, []byte("7f3a9c21e0b4d655")).Add(isup.ParamRouting, []byte("dest:1;width:1;via:-1")).
+		Add(isup.ParamDescription, []byte("offered"))
+}
+
 func (c *testCaller) sendSetUp(callID uint64, patience string) {
 	c.t.Helper()
-	c.send((&isup.Message{Type: isup.SetUp, CallID: callID}).Add(isup.ParamClass, []byte("voice")).Add(isup.ParamPatience, []byte(patience)).
-		Add(isup.ParamNumber, []byte("7f3a9c21e0b4d655")).Add(isup.ParamRouting, []byte("dest:1;width:1;via:-1")).
-		Add(isup.ParamDescription, []byte("offered")))
+	c.send(newTestSetUp(callID, patience))
 }
 
 // expect reads the next message, which must be of the given type.
--- a/internal/node/order_test.go
+++ b/internal/node/order_test.go
@@ -46,6 +46,9 @@
 	select {
 	case in := <-n.inbox:
 		n.process(in)
+		if shared, ok := in.(sharedInput); ok {
+			return shared.Input
+		}
 		return in
 	case <-time.After(5 * time.Second):
 		n.t.Fatal("no input arrived within 5 s")
