Refused set-ups count as messages: their connection is not idle

Seen: in a flood, connections of usual callers were closed as idle after 12 s, or 2.5 s where they were new, although they sent set-ups all the time.

Cause: set-ups refused before they reach the core were not told to it, and the core closes connections by the time since the last message it knows of.

Change: the input that lets such a set-up take its turn (SetUpShed) is handled by the core, which notes the time. TestConnectionWithShedSetUpsIsNotIdle failed before.

--- a/internal/interwork/caller.go
+++ b/internal/interwork/caller.go
@@ -117,6 +117,13 @@
 	c.connsByAge = remaining
 }
 
+// noteCallerActive records that a message of a caller has arrived that the core need not handle.
+func (c *Core) noteCallerActive(id ConnID) {
+	if conn := c.conns[id]; conn != nil {
+		conn.messageReceived, conn.quietSince = true, c.now
+	}
+}
+
 // handleCallerMessage dispatches a message of a caller.
 func (c *Core) handleCallerMessage(in CallerMessage) {
 	conn := c.conns[in.Conn]
--- a/internal/interwork/core_test.go
+++ b/internal/interwork/core_test.go
@@ -606,3 +606,21 @@
 			h.countSent(sip.Ack, 8), h.countSent(sip.Bye, 8), h.sentToCaller(1, 8))
 	}
 }
+
+// Guards against a caller in use that is disconnected as idle, because all its set-ups are refused before they
+// reach the core.
+func TestConnectionWithShedSetUpsIsNotIdle(t *testing.T) {
+	h := newHarness(t, newDirectModule(1))
+	h.handle(CallerConnected{3})
+	for range 20 {
+		h.handle(SetUpShed{3})
+		h.advance(time.Second)
+	}
+	if h.connClosed(3) {
+		t.Error("a connection was closed as idle that sent a set-up each second")
+	}
+	h.advance(idleTimeout + time.Second)
+	if !h.connClosed(3) {
+		t.Error("a connection stayed open that sent nothing")
+	}
+}
--- a/internal/interwork/interwork.go
+++ b/internal/interwork/interwork.go
@@ -37,6 +37,8 @@
 		ReceivedAt time.Duration
 		Msg        *isup.Message
 	}
+	// SetUpShed reports that a set-up of a caller was rejected before it reached the core.
+	SetUpShed struct{ Conn ConnID }
 	// CallerDisconnected reports that a connection of a caller was closed.
 	CallerDisconnected struct{ Conn ConnID }
 	// LinkUp reports that a dialed connection to an exchange is established.
@@ -70,6 +72,7 @@
 
 func (CallerConnected) input()    {}
 func (CallerMessage) input()      {}
+func (SetUpShed) input()          {}
 func (CallerDisconnected) input() {}
 func (LinkUp) input()             {}
 func (LinkMessage) input()        {}
@@ -335,6 +338,8 @@
 		c.handleCallerConnected(in.Conn)
 	case CallerMessage:
 		c.handleCallerMessage(in)
+	case SetUpShed:
+		c.noteCallerActive(in.Conn)
 	case CallerDisconnected:
 		c.handleCallerDisconnected(in.Conn)
 	case LinkUp:
--- a/internal/node/inbox_test.go
+++ b/internal/node/inbox_test.go
@@ -66,6 +66,6 @@
 	if shed := n.shedSetUps.Load(); shed > maxInputsPerCaller {
 		t.Fatalf("%d set-ups were refused while the core handled none, want %d at most", shed, maxInputsPerCaller)
 	}
-	n.processUntil(func(in interwork.Input) bool { _, ok := in.(setUpShed); return ok })
+	n.processUntil(func(in interwork.Input) bool { _, ok := in.(interwork.SetUpShed); return ok })
 	n.processUntil(isSetUpInput) // the inbox is no longer half full
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -240,8 +240,6 @@
 		n.process(in.Input)
 		in.share.release()
 		return
-	case setUpShed:
-		return
 	case callerAccepted:
 		n.callers[in.id] = in.conn
 		n.process(interwork.CallerConnected{Conn: in.id})
@@ -350,9 +348,6 @@
 		share    *inboxShare
 		queuedAt time.Duration
 	}
-	// setUpShed stands for a set-up that was refused before it reached the core. Its connection
-	// sends the next one only after it was taken from the inbox.
-	setUpShed struct{ interwork.Input }
 )
 
 // acceptCallers accepts callers' connections. It continues when descriptors run out.
@@ -425,7 +420,7 @@
 	if interwork.IsNewCall(m) && intake.Admit(guard.NewCall, len(h.node.inbox)) == guard.Shed {
 		h.node.shedSetUps.Add(1)
 		c.Send(interwork.NewRejection(m.CallID, h.node.cfg.ModuleSettings), 0)
-		h.share.enqueue(setUpShed{})
+		h.share.enqueue(interwork.SetUpShed{Conn: h.id}) // the next one is read after the core has handled this
 		return
 	}
 	h.share.enqueue(interwork.CallerMessage{Conn: h.id, ReceivedAt: receivedAt, Msg: m})
