A connection that comes up is no sign that a hanging exchange works

Cause: calls end once an exchange was silent for 4 s, and each connection that came up reset that time. The machine of a hanging exchange completes one every 1.6 s.

Change: the time runs from the first set-up, ping or connect that is not answered and ends with a message alone. A link that comes up meanwhile is pinged at once and has its 0.6 s, which keeps the reason of the old line.

--- a/internal/interwork/attempt.go
+++ b/internal/interwork/attempt.go
@@ -85,6 +85,7 @@
 	attempt.link = link
 	link.pending = append(link.pending, attempt)
 	link.lastUsedAt, link.usedForCall = c.now, true
+	c.noteAsked(link.peer)
 	c.log(slog.LevelDebug, "set-up", "call", attempt.call.callID, "nth", attempt.number, "exchange", attempt.peer.Name,
 		"link", link.id, "within", attempt.deadline-c.now)
 	attempt.invite = attempt.call.newInvite(attempt.deadline - c.now)
@@ -163,7 +164,7 @@
 		return
 	}
 	msg := in.Msg
-	link.lastHeardAt, link.peer.lastHeardAt = c.now, c.now
+	link.lastHeardAt, link.peer.silentSince = c.now, 0
 	if msg.Status != 0 {
 		switch msg.CSeqMethod {
 		case sip.Invite:
@@ -264,7 +265,7 @@
 	}
 	c.removeAttempt(attempt)
 	if c.calls[id] != call { // abandoned in the meantime
-		c.sendBye(link, byeRequest{id, call.callID, isup.NormalClearing})
+		c.sendBye(link, byeRequest{id: id, callID: call.callID, cause: isup.NormalClearing})
 		c.reportEnded(attempt, routing.AttemptEnded{Outcome: routing.OutcomeCancelled})
 		return
 	}
@@ -298,7 +299,7 @@
 	}
 	c.sendAck(link, msg)
 	if ending.withdrawnPeer == link.peer && msg.Status < 300 && (call == nil || call.peer != link.peer) {
-		c.sendBye(link, byeRequest{id, msg.CallID, isup.NormalClearing})
+		c.sendBye(link, byeRequest{id: id, callID: msg.CallID, cause: isup.NormalClearing})
 	}
 }
 
--- a/internal/interwork/byes.go
+++ b/internal/interwork/byes.go
@@ -9,9 +9,10 @@
 
 // byeRequest is a BYE to be sent.
 type byeRequest struct {
-	id     uint64
-	callID string
-	cause  byte
+	id      uint64
+	callID  string
+	cause   byte
+	resends int // times that it was sent before
 }
 
 // sentBye is a BYE that was sent on a link and may not have arrived.
@@ -25,13 +26,20 @@
 // have arrived.
 const maxPendingByes = 4096
 
+// maxByeBackoffs limits how often the time doubles after which the link of an unanswered BYE is pinged.
+const maxByeBackoffs = 3
+
 // releaseAtPeer sends a BYE to an exchange, at once or when a link is up. BYEs beyond maxPendingByes are
 // dropped and counted.
 func (c *Core) releaseAtPeer(peer *peerExchange, id uint64, callID string, cause byte) {
 	if peer == nil || peer.removed {
 		return
 	}
-	bye := byeRequest{id, callID, cause}
+	c.sendOrKeepBye(peer, byeRequest{id: id, callID: callID, cause: cause})
+}
+
+// sendOrKeepBye sends a BYE on a link to an exchange, or keeps it until one is up.
+func (c *Core) sendOrKeepBye(peer *peerExchange, bye byeRequest) {
 	if link := c.pickLink(peer, nil); link != nil {
 		c.sendBye(link, bye)
 	} else if len(peer.pendingByes) < maxPendingByes {
@@ -75,9 +83,14 @@
 	}
 }
 
-// isByeOverdue reports whether a BYE has been unanswered for so long that the link must be pinged.
+// isByeOverdue reports whether a BYE has been unanswered for so long that the link must be pinged. The time
+// doubles each time it is sent again: while an exchange hangs, each such ping costs a connection.
 func (c *Core) isByeOverdue(link *peerLink) bool {
-	return len(link.unconfirmedByes) > 0 && c.now-link.unconfirmedByes[0].sentAt >= pingDelayEstablished
+	if len(link.unconfirmedByes) == 0 {
+		return false
+	}
+	oldest := link.unconfirmedByes[0]
+	return c.now-oldest.sentAt >= pingDelayEstablished<<min(oldest.resends, maxByeBackoffs)
 }
 
 // resendByes sends the BYEs again that may not have arrived on a link that has ended, except those of calls that
@@ -85,10 +98,14 @@
 func (c *Core) resendByes(link *peerLink) {
 	byes := link.unconfirmedByes
 	link.unconfirmedByes = nil
+	if link.peer.removed {
+		return
+	}
 	for _, bye := range byes {
 		attempt := c.attempts[bye.id]
 		if link.peer.calls[bye.id] == nil && (attempt == nil || attempt.peer != link.peer) {
-			c.releaseAtPeer(link.peer, bye.id, bye.callID, bye.cause)
+			bye.resends++
+			c.sendOrKeepBye(link.peer, bye.byeRequest)
 		}
 	}
 }
--- a/internal/interwork/byes_test.go
+++ b/internal/interwork/byes_test.go
@@ -107,7 +107,7 @@
 	h := newHarness(t, newDirectModule(1))
 	link := h.core.links[h.firstLinkUp(1)]
 	for id := range uint64(maxPendingByes + 3) {
-		h.core.sendBye(link, byeRequest{id, callID(id), isup.NormalClearing})
+		h.core.sendBye(link, byeRequest{id: id, callID: callID(id), cause: isup.NormalClearing})
 	}
 	if len(link.unconfirmedByes) != maxPendingByes || link.unconfirmedByes[0].id != 3 || h.core.Stats.ByesShed != 3 {
 		t.Errorf("%d BYEs are kept from number %d on, %d shed", len(link.unconfirmedByes), link.unconfirmedByes[0].id, h.core.Stats.ByesShed)
--- a/internal/interwork/interwork.go
+++ b/internal/interwork/interwork.go
@@ -177,7 +177,7 @@
 	pingDelayPending     = 250 * time.Millisecond  // quiet time before a link with attempts in flight is pinged
 	pingDelayEstablished = time.Second             // the same for a link to an exchange with established calls only
 	pingTimeout          = 600 * time.Millisecond  // closes a link whose ping is not answered
-	unresponsiveTimeout  = 4 * time.Second         // ends the calls at an exchange that nothing is received from
+	unresponsiveTimeout  = 4 * time.Second         // ends the calls at an exchange that answers nothing
 	refusingTimeout      = 600 * time.Millisecond  // ends the calls at an exchange that refuses connections
 	endingRetention      = 20 * time.Second        // ended calls are remembered
 	adoptedHoldingTimes  = 10                      // mean holding times of its class after which an adopted call is ended
@@ -242,7 +242,7 @@
 		}
 		c.log(slog.LevelDebug, "exchange", "name", peer.Name, "cell", peer.Number, "state", peer.State,
 			"free", peer.lastReport.FreeCircuits, "size", peer.lastReport.GroupSize, "links", len(peer.links), "up", upCount, "out", inFlight,
-			"waiting", len(peer.waiting), "standing", len(peer.calls), "fails", peer.connectFailures, "heard", c.now-peer.lastHeardAt)
+			"waiting", len(peer.waiting), "standing", len(peer.calls), "fails", peer.connectFailures, "silent", c.silence(peer))
 	}
 }
 
--- a/internal/interwork/links.go
+++ b/internal/interwork/links.go
@@ -69,10 +69,11 @@
 	}
 	c.scheduleReopening(peer)
 	counts := countLinks(peer)
+	c.noteSilence(peer, counts)
 	switch {
 	case peer.refusingSince > 0 && c.now-peer.refusingSince > refusingTimeout && counts.up == 0:
 		c.endCallsBefore(peer, c.now+1, "refuses connections")
-	case c.now-peer.lastHeardAt > unresponsiveTimeout && len(peer.calls) > 0:
+	case c.isUnresponsive(peer):
 		c.endCallsBefore(peer, c.now+1, "unresponsive")
 	}
 	wanted := c.wantedLinks(peer, counts)
@@ -195,6 +196,7 @@
 		return
 	}
 	link.pingSentAt = c.now
+	c.noteAsked(link.peer)
 	link.markByesBeforePing()
 	c.Stats.Tests++
 	c.emit(SendToExchange{link.id, &sip.Message{
@@ -225,7 +227,10 @@
 	peer := link.peer
 	link.up, link.lastHeardAt, link.lastUsedAt = true, c.now, c.now
 	c.noteLinkOpened(link)
-	peer.lastHeardAt, peer.connectFailures, peer.refusingSince, peer.retryAt = c.now, 0, 0, 0
+	peer.connectFailures, peer.refusingSince, peer.retryAt = 0, 0, 0
+	if peer.silentSince > 0 && len(peer.calls) > 0 {
+		c.sendPing(link)
+	}
 	if peer.State != routing.InService {
 		c.emit(HoldSetUps{link.id, true})
 	}
--- a/internal/interwork/peer.go
+++ b/internal/interwork/peer.go
@@ -22,7 +22,7 @@
 	removed     bool
 	lastReport  routing.StatusReport // last known state of the trunk group
 
-	lastHeardAt     time.Duration // last message or connect
+	silentSince     time.Duration // start of the time in which it has answered nothing, 0 if none
 	exclusiveUntil  time.Duration // until then set-ups do not share links
 	connectFailures int           // consecutive failed connection attempts
 	refusingSince   time.Duration // start of the current run of refused connections, 0 if none
@@ -59,7 +59,7 @@
 				continue
 			}
 			c.lastPeerID++
-			peer = &peerExchange{Entry: entry, id: c.lastPeerID, calls: map[uint64]*activeCall{}, lastHeardAt: c.now}
+			peer = &peerExchange{Entry: entry, id: c.lastPeerID, calls: map[uint64]*activeCall{}}
 			c.peersByName[entry.Name], c.peersByID[peer.id] = peer, peer
 			c.peers = append(c.peers, peer)
 			c.listedNumbers[entry.Number] = true
@@ -96,7 +96,7 @@
 				c.closeLink(link, "exchange restarted")
 			}
 		}
-		peer.connectFailures, peer.retryAt, peer.refusingSince, peer.lastHeardAt = 0, 0, 0, c.now
+		peer.connectFailures, peer.retryAt, peer.refusingSince, peer.silentSince = 0, 0, 0, 0
 	}
 	if (peer.State == routing.InService) != (previous.State == routing.InService) {
 		for _, link := range peer.links {
--- a/internal/interwork/releases_test.go
+++ b/internal/interwork/releases_test.go
@@ -67,11 +67,16 @@
 func (h *testHarness) answerPings(except LinkID) {
 	for _, link := range h.allLinks() {
 		if link.pingSentAt > 0 && link.id != except {
-			h.handle(LinkMessage{link.id, &sip.Message{Status: 200, CSeqMethod: sip.Options}})
+			h.answerPing(link.id)
 		}
 	}
 }
 
+// answerPing answers the ping on a link.
+func (h *testHarness) answerPing(link LinkID) {
+	h.handle(LinkMessage{link, &sip.Message{Status: 200, CSeqMethod: sip.Options}})
+}
+
 // Connections at exchanges are scarce: a loss costs one connection in place of the lost one, and when that is no
 // longer needed and closed no further one takes its place.
 func TestLostLinksAreReplacedOnce(t *testing.T) {
