--- a/internal/isup/isup.go
+++ b/internal/isup/isup.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 )
 
 // Message types.
@@ -38,6 +39,9 @@
 	ParamDescription = 109
 )
 
+// knownParams lists the parameter codes. Readers skip all others.
+var knownParams = [...]byte{ParamClass, ParamPatience, ParamRetry, ParamNumber, ParamRouting, ParamRetryAfter, ParamCause, ParamDescription}
+
 // Q.850 causes that are reported to callers. Congestion means that the call was
 // refused and can be repeated safely; the others mean that it has ended or failed.
 const (
@@ -58,7 +62,8 @@
 	Value []byte
 }
 
-// Message is one message. Its parameters are in the order of the wire format.
+// Message is one message. Its parameters are in the order of the wire format. One that was read has no parameter
+// with an unknown code and none twice.
 type Message struct {
 	Type   byte
 	CallID uint64
@@ -167,12 +172,20 @@
 			return nil, fmt.Errorf("%w: parameter at byte %d exceeds the message", ErrSyntax, headerBytes+offset)
 		}
 		valueLen := int(binary.BigEndian.Uint16(rest[1:]))
-		m.Params = append(m.Params, Param{rest[0], rest[3 : 3+valueLen : 3+valueLen]})
+		m.keep(Param{rest[0], rest[3 : 3+valueLen : 3+valueLen]})
 		offset += 3 + valueLen
 	}
 	return m, nil
 }
 
+// keep adds a parameter that was read, unless it has an unknown code or repeats an earlier one. So a message that
+// is full of short parameters takes no more memory than its own length.
+func (m *Message) keep(param Param) {
+	if _, repeated := m.Get(param.Code); !repeated && slices.Contains(knownParams[:], param.Code) {
+		m.Params = append(m.Params, param)
+	}
+}
+
 // readBody reads size bytes. It allocates little more than has arrived, so that
 // a claimed length alone takes no memory.
 func readBody(r io.Reader, size int) ([]byte, error) {
--- a/internal/sip/sip.go
+++ b/internal/sip/sip.go
@@ -41,7 +41,7 @@
 	CSeq        int                  // sequence number of the CSeq header field
 	CSeqMethod  string               // method of the CSeq header field: that of the request, also in its response
 	ExtraFields []HeaderField        // to be sent besides Via, Call-ID, CSeq and Content-Length
-	Header      textproto.MIMEHeader // header of a message that was read
+	Header      textproto.MIMEHeader // of a message that was read: the first value of each of keptFields
 	Body        []byte
 }
 
@@ -179,7 +179,7 @@
 	if m.CSeqMethod = strings.TrimSpace(method); m.Method != "" && m.CSeqMethod == "" {
 		m.CSeqMethod = m.Method
 	}
-	m.Header = header
+	m.Header = keptHeader(header)
 	m.Body = make([]byte, bodyLen)
 	if _, err = io.ReadFull(r.buffer, m.Body); err != nil {
 		return nil, err
@@ -190,6 +190,21 @@
 	return m, r.checkBody(m.Body)
 }
 
+// keptFields are the header fields that messages keep once they are read.
+var keptFields = [...]string{"Reason", "Fail-Word", "Proc-Wait", "Link-State", "Call-Kind", "Answer-Within"}
+
+// keptHeader returns the fields of a header that are used, so that a message with very many short fields takes
+// little memory while it waits to be handled.
+func keptHeader(header textproto.MIMEHeader) textproto.MIMEHeader {
+	kept := textproto.MIMEHeader{}
+	for _, name := range keptFields {
+		if values := header[name]; len(values) > 0 {
+			kept[name] = []string{values[0]} // the original shares its memory with the other fields
+		}
+	}
+	return kept
+}
+
 // isAnswer reports whether the message accepts a set-up.
 func (m *Message) isAnswer() bool { return m.Status >= 200 && m.Status < 300 && m.CSeqMethod == Invite }
 
--- a/internal/sip/sip_test.go
+++ b/internal/sip/sip_test.go
@@ -193,3 +193,17 @@
 		}
 	})
 }
+
+// Guards against a process over its memory limit: a message with very many short fields took many times its length
+// while it waited to be handled.
+func TestReadKeepsOnlyFieldsThatAreUsed(t *testing.T) {
+	var fields strings.Builder
+	for n := range 1500 {
+		fmt.Fprintf(&fields, "x%d:\r\n", n)
+	}
+	wire := "BYE sip:x@net SIP/2.0\r\nCall-ID: 7\r\nCSeq: 2 BYE\r\n" + fields.String() + "Reason: Q.850;cause=41\r\nContent-Length: 0\r\n\r\n"
+	m, err := NewReader(strings.NewReader(wire), nil).Read()
+	if err != nil || len(m.Header) != 1 || ParseCause(m.Get("reason")) != 41 || m.CallID != "7" {
+		t.Fatalf("read %d fields, cause %d, error %v; want the reason alone", len(m.Header), ParseCause(m.Get("reason")), err)
+	}
+}
