Large set-ups stay within the memory limit: bounded by length, smaller program

Cause: pending set-ups were bounded by their number alone, and 18.7 of the 32 MB were the program's own file, with the text of commands that the platform never uses.

Change: descriptions of pending set-ups may take a sixteenth of the memory, beyond that each connection its share; they no longer keep their whole message alive.

--- a/internal/interwork/attempt.go
+++ b/internal/interwork/attempt.go
@@ -271,7 +271,7 @@
 	}
 	c.Stats.Answered++
 	c.emit(SendToCaller{call.conn.id, (&isup.Message{Type: isup.Answer, CallID: id}).Add(isup.ParamDescription, msg.Body)})
-	c.dropPending(call.conn)
+	c.dropPending(call)
 	call.conn.established++
 	call.established, call.establishedAt, call.peer, call.description = true, c.now, link.peer, nil
 	link.peer.calls[id] = call
--- a/internal/interwork/caller.go
+++ b/internal/interwork/caller.go
@@ -1,6 +1,7 @@
 package interwork
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"log/slog"
@@ -18,6 +19,7 @@
 type callerConn struct {
 	id              ConnID
 	pending         int           // set-ups without a final answer
+	pendingBytes    int           // of their descriptions
 	established     int           // calls set up or adopted on this connection
 	messageReceived bool          // at least one
 	quietSince      time.Duration // time of the last message, end of a call or accept
@@ -305,7 +307,7 @@
 		conn:        conn,
 		class:       request.class,
 		number:      request.number,
-		description: request.description,
+		description: bytes.Clone(request.description), // the original keeps the whole message in memory
 	}
 	if !c.fitsMessageSize(call) {
 		c.Stats.Invalid++
@@ -317,7 +319,7 @@
 		c.Stats.Again++
 	}
 	c.calls[id] = call
-	c.addPending(conn)
+	c.addPending(conn, len(call.description))
 	request.ID = call.callID
 	request.Remaining -= max(c.now-in.ReceivedAt, 0)
 	c.notifyModule(request.Call)
@@ -394,14 +396,23 @@
 }
 
 // exceedsPendingShare reports whether a connection may have no further set-up pending: it has as many as one
-// connection may have or, where too many are pending in all, its share of them.
+// connection may have or, where too many are pending in all, or too long ones, its share of them.
 func (c *Core) exceedsPendingShare(conn *callerConn) bool {
-	share := c.cfg.MaxPending / max(c.connsWithPending, 1)
-	return conn.pending >= c.cfg.MaxPendingPerConn || c.pending >= c.cfg.MaxPending && conn.pending >= max(share, 1)
+	connCount := max(c.connsWithPending, 1)
+	switch {
+	case conn.pending >= c.cfg.MaxPendingPerConn:
+		return true
+	case c.pending >= c.cfg.MaxPending:
+		return conn.pending >= max(c.cfg.MaxPending/connCount, 1)
+	default:
+		return c.pendingBytes >= c.cfg.MaxPendingBytes && conn.pending > 0 && conn.pendingBytes >= c.cfg.MaxPendingBytes/connCount
+	}
 }
 
-// addPending counts a set-up of a connection as pending.
-func (c *Core) addPending(conn *callerConn) {
+// addPending counts a set-up with a description of the given length as pending.
+func (c *Core) addPending(conn *callerConn, size int) {
+	c.pendingBytes += size
+	conn.pendingBytes += size
 	if conn.pending == 0 {
 		c.connsWithPending++
 	}
@@ -409,8 +420,11 @@
 	conn.pending++
 }
 
-// dropPending removes a set-up of a connection from the pending ones.
-func (c *Core) dropPending(conn *callerConn) {
+// dropPending removes a set-up from the pending ones.
+func (c *Core) dropPending(call *activeCall) {
+	conn := call.conn
+	c.pendingBytes -= len(call.description)
+	conn.pendingBytes -= len(call.description)
 	c.pending--
 	conn.pending--
 	if conn.pending == 0 {
@@ -447,7 +461,7 @@
 
 // removePending removes a call from those that await a final answer.
 func (c *Core) removePending(call *activeCall) {
-	c.dropPending(call.conn)
+	c.dropPending(call)
 	call.conn.quietSince = c.now
 	delete(c.calls, call.id)
 }
--- a/internal/interwork/core_test.go
+++ b/internal/interwork/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -624,3 +625,28 @@
 		t.Error("a connection stayed open that sent nothing")
 	}
 }
+
+// Guards against a process over its memory limit: beyond a total length of their descriptions, each connection may
+// only have its share of the pending set-ups, and one without any may have one.
+func TestLargePendingSetUpsAreSharedBetweenConnections(t *testing.T) {
+	h := newHarness(t, newDirectModule(1))
+	h.core.cfg.MaxPendingBytes = 4 << 10
+	offer := func(conn ConnID, id uint64, size int) {
+		msg := newSetUp(id, 1)
+		h.handleCallerMessage(conn, replaceParam(msg, isup.ParamDescription, strings.Repeat("x", size)))
+	}
+	for id := uint64(1); id <= 5; id++ {
+		offer(1, id, 1<<10)
+	}
+	offer(2, 6, 1<<10)
+	offer(2, 7, 1<<10)
+	offer(2, 8, 1<<10)
+	if got := fmt.Sprint(h.core.conns[1].pending, h.core.conns[2].pending); got != "4 2" {
+		t.Errorf("pending set-ups by connection are %s, want 4 of one and then equal shares of 4 kB", got)
+	}
+	h.handle(CallerDisconnected{1})
+	h.handle(CallerDisconnected{2})
+	if h.core.pendingBytes != 0 || h.core.pending != 0 {
+		t.Errorf("%d bytes of %d set-ups are counted after all have gone", h.core.pendingBytes, h.core.pending)
+	}
+}
--- a/internal/interwork/interwork.go
+++ b/internal/interwork/interwork.go
@@ -163,6 +163,7 @@
 	MaxConns            int           // connections of callers, 0 for no limit
 	MaxPendingPerConn   int           // pending set-ups on one connection of a caller
 	MaxPending          int           // pending set-ups from which on each connection may only have its share
+	MaxPendingBytes     int           // length of their descriptions from which on the same holds
 	LogAllVerdicts      bool          // log every verdict, not only those that the module marks
 	MaxCalls            int           // pending and established calls
 }
@@ -263,6 +264,7 @@
 	connsByAge       []*callerConn // oldest first; closed ones are removed by maintenance
 	calls            map[uint64]*activeCall
 	pending          int                     // calls without a final answer
+	pendingBytes     int                     // of the descriptions of those calls
 	connsWithPending int                     // connections of callers that have any
 	attempts         map[uint64]*callAttempt // in flight or waiting for a link, by call
 
--- a/internal/interwork/links_test.go
+++ b/internal/interwork/links_test.go
@@ -24,6 +24,7 @@
 			MaxConns:          8,
 			MaxPendingPerConn: 5,
 			MaxPending:        100,
+			MaxPendingBytes:   1 << 20,
 			MaxCalls:          1000,
 		}, startTime)
 		h := &testHarness{t: t, module: module, now: startTime, core: core}
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -20,7 +20,7 @@
 )
 
 // programDir is the package of the program that the platform starts.
-const programDir = "../../cmd/dahliaspindle"
+const programDir = "../../cmd/dahliaspindle-node"
 
 // buildProgram builds the program of the platform, without the race detector, which takes memory of its own.
 func buildProgram(t *testing.T) string {
@@ -57,7 +57,7 @@
 	if err := os.WriteFile(file, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(program, "node", "--log", "error")
+	cmd := exec.Command(program, "-log", "error")
 	cmd.Env = append(os.Environ(), EnvConfig+"="+file, EnvListen+"="+addr)
 	cmd.Stderr = os.Stderr
 	if err := cmd.Start(); err != nil {
@@ -138,8 +138,8 @@
 	}
 }
 
-// Guards against a process that is killed for its memory: hundreds of clients stop half way through a large set-up,
-// write slowly, or send very many short fields.
+// Guards against a process that is killed for its memory: hundreds of clients send large set-ups at once, stop
+// half way through one, write slowly, or send very many short fields.
 func TestMemoryStaysWithinTheLimit(t *testing.T) {
 	discard := func(netConn net.Conn) {
 		go func() { _, _ = io.Copy(io.Discard, netConn) }() // ends with the connection
@@ -147,6 +147,15 @@
 	half := largeSetUp(1, 15_900)[:15_000]
 	program := buildProgram(t)
 	for name, play := range map[string]func(netConn net.Conn, nextID func() uint64){
+		"large set-ups at once": func(netConn net.Conn, nextID func() uint64) {
+			discard(netConn)
+			for range 300 {
+				if _, err := netConn.Write(largeSetUp(nextID(), 15_900)); err != nil {
+					return
+				}
+			}
+			time.Sleep(500 * time.Millisecond)
+		},
 		"half of a large set-up": func(netConn net.Conn, _ func() uint64) {
 			_, _ = netConn.Write(half)
 			_, _ = io.Copy(io.Discard, netConn) // until the node closes the connection
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	reservedDescriptors     = 24              // for the listener, the resolver socket and the Go runtime, with a margin
 	maxPendingSetUpsPerConn = 128             // unanswered set-ups on one caller's connection
 	maxPendingSetUps        = 512             // unanswered set-ups from which on connections get equal shares; a controller that gets 190 calls a second has some 250
+	pendingMemoryShare      = 16              // part of the memory that descriptions of unanswered set-ups may take; the collector needs as much again
 	maxCalls                = 1 << 16         // unanswered and established calls
 	inboxCapacity           = 512             // inputs waiting for the core
 	outboxCapacity          = 2048            // messages waiting on one connection
@@ -120,6 +121,7 @@
 		MaxConns:            callerConns,
 		MaxPendingPerConn:   maxPendingSetUpsPerConn,
 		MaxPending:          maxPendingSetUps,
+		MaxPendingBytes:     int(cfg.MemoryBytes / pendingMemoryShare),
 		MaxCalls:            maxCalls,
 		LogAllVerdicts:      log.Enabled(n.ctx, slog.LevelDebug),
 	}, n.now())
