Calls that callers only name take half of a table that follows the memory

A full table refuses new calls.

Cause: the table's bound of 65,536 calls was the same for every memory limit, and named calls could take all of it.

--- a/internal/interwork/attempt.go
+++ b/internal/interwork/attempt.go
@@ -357,6 +357,7 @@
 	}
 	c.recordEnding(call.id, callEnding{cause: cause})
 	if call.adopted {
+		c.adopted--
 		return
 	}
 	c.notifyModule(routing.AttemptEnded{
--- a/internal/interwork/caller.go
+++ b/internal/interwork/caller.go
@@ -345,9 +345,11 @@
 		c.emit(SendToCaller{conn.id, newRelease(id, isup.TemporaryFailure)})
 		return
 	}
-	if len(c.calls) >= c.cfg.MaxCalls {
+	if len(c.calls) >= c.cfg.MaxCalls || c.adopted >= c.cfg.MaxAdopted {
+		c.Stats.AdoptionsShed++
 		return
 	}
+	c.adopted++
 	c.Stats.Adopted++
 	call := &activeCall{
 		id:            id,
--- a/internal/interwork/core_test.go
+++ b/internal/interwork/core_test.go
@@ -650,3 +650,25 @@
 		t.Errorf("%d bytes of %d set-ups are counted after all have gone", h.core.pendingBytes, h.core.pending)
 	}
 }
+
+// Guards against new calls that are refused, and against memory without a bound, while a caller names ever new calls
+// as established.
+func TestAdoptedCallsLeaveRoomForNewOnes(t *testing.T) {
+	h := newHarness(t, newDirectModule(1))
+	h.core.cfg.MaxCalls, h.core.cfg.MaxAdopted = 6, 3
+	adopt := func(id uint64) {
+		h.handleCallerMessage(1, replaceParam(newSetUp(id, 1), isup.ParamRouting, "dest:1;width:1;via:-1;at:s-1"))
+	}
+	for id := uint64(100); id < 110; id++ {
+		adopt(id)
+	}
+	if h.core.Stats.Adopted != 3 || h.core.Stats.AdoptionsShed != 7 {
+		t.Errorf("%d calls were adopted and %d not, want 3 and 7", h.core.Stats.Adopted, h.core.Stats.AdoptionsShed)
+	}
+	h.establishCall(2, 7)
+	h.handle(LinkMessage{h.firstLinkUp(1), newBye(100, 16)})
+	adopt(110)
+	if h.core.Stats.Adopted != 4 {
+		t.Error("no call was adopted in place of one that ended")
+	}
+}
--- a/internal/interwork/harness_test.go
+++ b/internal/interwork/harness_test.go
@@ -80,6 +80,7 @@
 		MaxPending:        100,
 		MaxPendingBytes:   1 << 20,
 		MaxCalls:          1000,
+		MaxAdopted:        1000,
 	}, startTime)
 	h.handle(ExchangeListUpdate{Complete: true, Changes: []srvlist.Entry{testEntry(0), testEntry(1), testEntry(2), testEntry(3)}})
 	h.completeDials()
--- a/internal/interwork/interwork.go
+++ b/internal/interwork/interwork.go
@@ -166,6 +166,7 @@
 	MaxPendingBytes     int           // length of their descriptions from which on the same holds
 	LogAllVerdicts      bool          // log every verdict, not only those that the module marks
 	MaxCalls            int           // pending and established calls
+	MaxAdopted          int           // established calls taken over
 }
 
 // Times and limits of the connections, the records of ended calls and the shutdown. They do not
@@ -214,6 +215,7 @@
 	Attempts, Resets, TimedOut, NoConnect, Late, Stray, Cut, Forgotten int
 	Tests, TestsLost, ConnsShut                                        int
 	Unsaid, ByesShed                                                   int // undeliverable releases to callers, dropped BYEs
+	AdoptionsShed                                                      int // established calls that were not taken over
 }
 
 // timerEvent tells what a timer was set for: maintenance, the deadline of an attempt, the longest time of an
@@ -264,6 +266,7 @@
 	connsByAge       []*callerConn // oldest first; closed ones are removed by maintenance
 	calls            map[uint64]*activeCall
 	pending          int                     // calls without a final answer
+	adopted          int                     // established calls taken over
 	pendingBytes     int                     // of the descriptions of those calls
 	connsWithPending int                     // connections of callers that have any
 	attempts         map[uint64]*callAttempt // in flight or waiting for a link, by call
--- a/internal/interwork/links_test.go
+++ b/internal/interwork/links_test.go
@@ -26,6 +26,7 @@
 			MaxPending:        100,
 			MaxPendingBytes:   1 << 20,
 			MaxCalls:          1000,
+			MaxAdopted:        1000,
 		}, startTime)
 		h := &testHarness{t: t, module: module, now: startTime, core: core}
 		addExchanges := func(from, to int) {
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -100,14 +100,14 @@
 
 // largeSetUp returns a set-up with a description of the given size.
 func largeSetUp(id uint64, size int) []byte {
-	return replaceDescription(newTestSetUp(id, "9000"), make([]byte, size)).Append(nil)
+	return replaceParam(newTestSetUp(id, "9000"), isup.ParamDescription, make([]byte, size)).Append(nil)
 }
 
-// replaceDescription replaces the description of a set-up.
-func replaceDescription(m *isup.Message, description []byte) *isup.Message {
+// replaceParam replaces the value of a parameter and returns the message.
+func replaceParam(m *isup.Message, code byte, value []byte) *isup.Message {
 	for i := range m.Params {
-		if m.Params[i].Code == isup.ParamDescription {
-			m.Params[i].Value = description
+		if m.Params[i].Code == code {
+			m.Params[i].Value = value
 		}
 	}
 	return m
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	maxPendingSetUps        = 512             // unanswered set-ups from which on connections get equal shares; a controller that gets 190 calls a second has some 250
 	pendingMemoryShare      = 16              // part of the memory that descriptions of unanswered set-ups may take; the collector needs as much again
 	maxCalls                = 1 << 16         // unanswered and established calls
+	memoryPerCall           = 2 << 10         // bytes of memory that there must be for each of them; it takes some 400, and the collector as much again
 	inboxCapacity           = 512             // inputs waiting for the core
 	outboxCapacity          = 2048            // messages waiting on one connection
 	writeTimeout            = 2 * time.Second // a peer that accepts no data for that long is disconnected
@@ -111,6 +112,7 @@
 	available := cfg.MaxDescriptors - reservedDescriptors
 	callerConns := available / 2
 	n.maxCallerConns = int64(callerConns + callerConns/8) // the excess is for the time until the core has closed others
+	callLimit := min(maxCalls, int(cfg.MemoryBytes/memoryPerCall))
 	n.core = interwork.New(interwork.Config{
 		Module:              policy.New("brain", cfg.ModuleSettings),
 		Settings:            cfg.ModuleSettings,
@@ -122,7 +124,8 @@
 		MaxPendingPerConn:   maxPendingSetUpsPerConn,
 		MaxPending:          maxPendingSetUps,
 		MaxPendingBytes:     int(cfg.MemoryBytes / pendingMemoryShare),
-		MaxCalls:            maxCalls,
+		MaxCalls:            callLimit,
+		MaxAdopted:          callLimit / 2, // leaves room for new calls, whatever callers name
 		LogAllVerdicts:      log.Enabled(n.ctx, slog.LevelDebug),
 	}, n.now())
 	return n
