Set-ups are not sent on for a caller that closed with much unread

Cause: the end of a connection is noticed when its reader comes to it, behind all that was sent before, and connections take turns at the core.

Change: before a new call is passed to the core, the kernel is asked for the state of its connection, at most every 20 ms; a peer's close counts also while data before it is unread. Where that is not told the old check stands.

TestNoAttemptStartsForUnreadSetUpsOfACallerThatHasLeft failed before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -259,8 +259,8 @@
 		}
 		return
 	case interwork.CallerMessage:
-		if c := n.callers[in.Conn]; c != nil && c.IsClosed() && interwork.IsNewCall(in.Msg) {
-			return // the caller disconnected while its set-up waited in the inbox
+		if c := n.callers[in.Conn]; c != nil && interwork.IsNewCall(in.Msg) && c.HasPeerLeft() {
+			return // the caller disconnected while its set-up was unread or waited in the inbox
 		}
 	case interwork.CallerDisconnected:
 		delete(n.callers, in.Conn)
--- a/internal/node/order_test.go
+++ b/internal/node/order_test.go
@@ -228,6 +228,25 @@
 	}
 }
 
+// Guards against set-ups that are sent on for a caller that has gone: it closed its connection while many of them were
+// unread, so that the end of the connection was behind them.
+func TestNoAttemptStartsForUnreadSetUpsOfACallerThatHasLeft(t *testing.T) {
+	n := newSteppedNode(t)
+	n.processUntilLinkMessage()
+	caller := n.testNode.newCaller()
+	n.processUntil(isAccepted)
+	for id := range uint64(50) {
+		caller.sendSetUp(100+id, "3000")
+	}
+	n.waitForInputs(maxInputsPerCaller)
+	caller.netConn.Close()
+	time.Sleep(100 * time.Millisecond)
+	n.processUntil(func(in interwork.Input) bool { _, ok := in.(interwork.CallerDisconnected); return ok })
+	if invites := n.testNode.exchange.countInvites(100 * time.Millisecond); invites != 0 {
+		t.Errorf("%d attempts started after the caller had left, want 0", invites)
+	}
+}
+
 // A set-up may also wait for a connection to its exchange. When the dial succeeds
 // after the caller has left or the exchange was taken off the list, no attempt
 // must start on the new connection.
--- a/internal/transport/close_test.go
+++ b/internal/transport/close_test.go
@@ -155,3 +155,31 @@
 		})
 	}
 }
+
+// Guards against messages that are handled for a peer that has left: its end of the connection is behind them.
+func TestHasPeerLeftNoticesACloseBehindUnreadMessages(t *testing.T) {
+	local, peer := newTCPPair(t)
+	handler := &blockingHandler{entered: make(chan struct{}), unblock: make(chan struct{})}
+	c := Start(local, Options[*signal.Message]{Reader: signal.NewReadFunc(signal.Limits{})}, handler)
+	for range 3 {
+		if _, err := peer.Write(newRelease(1).Append(nil)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	<-handler.entered
+	time.Sleep(2 * peerCheckInterval)
+	if c.HasPeerLeft() {
+		t.Error("the peer counts as gone while its connection is open")
+	}
+	peer.Close()
+	for limit := time.Now().Add(time.Second); !c.HasPeerLeft(); time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal("the peer does not count as gone a second after its close")
+		}
+	}
+	close(handler.unblock)
+	<-c.Done()
+	if !c.PeerClosed() {
+		t.Error("the close counts as this side's")
+	}
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -95,7 +95,8 @@
 	closeOnEmpty           bool // close once the queue is written
 	closeReason            error
 	peerClosed             bool // the peer ended the connection before this side did
-	runningLoops           int  // goroutines that have not ended
+	peerCheckedAt          time.Duration
+	runningLoops           int // goroutines that have not ended
 	wakeWriter             chan struct{}
 	done                   chan struct{}
 }
@@ -195,6 +196,26 @@
 	return c.closed
 }
 
+// peerCheckInterval is the shortest time between two checks whether the peer has left.
+const peerCheckInterval = 20 * time.Millisecond
+
+// HasPeerLeft reports whether the connection is closed or its peer has closed it, and closes it then. Unlike the
+// reader, it notices that while messages that the peer sent before are unread.
+func (c *Conn[M]) HasPeerLeft() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.options.Now()
+	if c.closed || c.peerCheckedAt > 0 && now-c.peerCheckedAt < peerCheckInterval {
+		return c.closed
+	}
+	c.peerCheckedAt = now
+	if peerHasClosed(c.netConn) {
+		c.peerClosed = true
+		c.closeLocked(io.EOF)
+	}
+	return c.closed
+}
+
 // QueueLen returns the number of messages waiting to be written.
 func (c *Conn[M]) QueueLen() int {
 	c.mu.Lock()
