An id that was sent to an exchange does not run a second time

Cause: ids were compared with the calls in progress only, and attempts lost with their link left no record.

One that was sent to no exchange may come again, as after the close of an idle connection.

TestIDThatHasRunIsRefused failed before in its four first parts and holds the exception. The tests with a process end it before they wait for their clients.

--- a/internal/interwork/attempt.go
+++ b/internal/interwork/attempt.go
@@ -85,6 +85,7 @@
 	attempt.link = link
 	link.pending = append(link.pending, attempt)
 	link.lastUsedAt, link.usedForCall = c.now, true
+	attempt.call.sent = true
 	c.noteAsked(link.peer)
 	c.log(slog.LevelDebug, "set-up", "call", attempt.call.callID, "nth", attempt.number, "exchange", attempt.peer.Name,
 		"link", link.id, "within", attempt.deadline-c.now)
--- a/internal/interwork/caller.go
+++ b/internal/interwork/caller.go
@@ -35,6 +35,7 @@
 	number        string
 	description   []byte
 	attempts      int
+	sent          bool          // a set-up was sent to an exchange
 	peer          *peerExchange // where the call is established, nil while pending
 	established   bool
 	adopted       bool // established before this process knew it
@@ -289,7 +290,7 @@
 		c.Stats.Invalid++
 		c.closeConn(conn, "two set-ups with the same id")
 		return
-	case existing != nil:
+	case existing != nil, c.hasRun(id):
 		c.Stats.Invalid++
 		c.rejectCall(conn.id, id)
 		return
@@ -466,6 +467,16 @@
 	c.dropPending(call)
 	call.conn.quietSince = c.now
 	delete(c.calls, call.id)
+	if call.sent && !c.hasRun(call.id) {
+		c.recordEnding(call.id, callEnding{cause: isup.TemporaryFailure})
+	}
+}
+
+// hasRun reports whether a call with the given ID ended recently after it was sent to an exchange. Each set-up has
+// an ID of its own, so one that comes again must not be sent again.
+func (c *Core) hasRun(id uint64) bool {
+	_, ended := c.recentEndings[id]
+	return ended
 }
 
 // sendFinalAnswer sends the final answer to a pending call. An attempt in flight is withdrawn first.
--- a/internal/interwork/core_test.go
+++ b/internal/interwork/core_test.go
@@ -672,3 +672,42 @@
 		t.Error("no call was adopted in place of one that ended")
 	}
 }
+
+// Guards against a call that runs twice: its ID comes again after its caller has left or got an answer. A call that
+// was sent to no exchange may come again.
+func TestIDThatHasRunIsRefused(t *testing.T) {
+	for name, test := range map[string]struct {
+		end  func(h *testHarness, sent SendToExchange)
+		want string
+	}{
+		"caller left, set-up withdrawn": {func(h *testHarness, _ SendToExchange) { h.handle(CallerDisconnected{1}) }, "12/42"},
+		"link lost, caller left": {func(h *testHarness, sent SendToExchange) {
+			h.module.respond = nil // the call waits for another route
+			h.handle(LinkDown{Link: sent.Link})
+			h.handle(CallerDisconnected{1})
+		}, "12/42"},
+		"failed": {func(h *testHarness, sent SendToExchange) { h.handle(LinkMessage{sent.Link, newResponse(7, 500)}) }, "12/42"},
+		"established and released": {func(h *testHarness, sent SendToExchange) {
+			h.handle(LinkMessage{sent.Link, newResponse(7, 200)})
+			h.handle(LinkMessage{sent.Link, newBye(7, 16)})
+		}, "12/42"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, h, sent := newHarnessWithPendingCall(t, 1)
+			test.end(h, sent)
+			invites := h.countSent(sip.Invite, 7)
+			h.handleCallerMessage(2, newSetUp(7, 1))
+			if got := h.sentToCaller(2, 7); got != test.want || h.countSent(sip.Invite, 7) != invites {
+				t.Errorf("the second caller received %q, %d more INVITE; want %q and none", got, h.countSent(sip.Invite, 7)-invites, test.want)
+			}
+		})
+	}
+	h := newHarness(t, &scriptedModule{}) // finds no route
+	h.handleCallerMessage(1, newSetUp(7, 1))
+	h.handle(CallerDisconnected{1})
+	h.module.respond = newDirectModule(1).respond
+	h.handleCallerMessage(2, newSetUp(7, 1))
+	if h.countSent(sip.Invite, 7) != 1 {
+		t.Error("a call that was sent to no exchange did not run when it came again")
+	}
+}
--- a/internal/node/flood_test.go
+++ b/internal/node/flood_test.go
@@ -123,12 +123,13 @@
 			others.Go(func() { n.exchange.answerCalls(&over) })
 			others.Go(func() { n.badClient(&over, 1, fastClient(next)) })
 			longest, unanswered := n.usualCaller(2 * time.Second)
+			peak := n.peakMemoryKB()
 			over.Store(true)
+			n.kill()
 			others.Wait()
 			if unanswered > 0 || longest > usualPatience {
 				t.Errorf("%d usual set-ups got no answer, the longest took %v, %v are allowed", unanswered, longest, usualPatience)
 			}
-			peak := n.peakMemoryKB()
 			if peak > memoryMB<<10 {
 				t.Errorf("the process held %d kB, over the limit of %d MB", peak, memoryMB)
 			}
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -78,6 +78,11 @@
 	return n
 }
 
+// kill ends the process, and with it the connections of all clients.
+func (n *childNode) kill() {
+	_ = n.process.Kill() // fails only if it has ended
+}
+
 // peakMemoryKB returns the largest resident memory that the process had.
 func (n *childNode) peakMemoryKB() int {
 	n.t.Helper()
@@ -187,9 +192,11 @@
 					clients.Go(func() { n.badClient(&over, number, play) })
 				}
 				time.Sleep(2 * time.Second)
+				peak := n.peakMemoryKB()
 				over.Store(true)
+				n.kill()
 				clients.Wait()
-				if peak := n.peakMemoryKB(); peak > memoryMB<<10 {
+				if peak > memoryMB<<10 {
 					t.Errorf("the process held %d kB, over the limit of %d MB", peak, memoryMB)
 				} else {
 					t.Logf("the process held %d kB at most", peak)
