Calls end where another process has taken their exchange's address at once

Cause: the new process accepts and answers at once and was taken for the old one, whose calls went on. A reset alone proves nothing and must not end calls.

Change: after all links were lost, a state of the trunk group without a circuit in use means that the calls from before are over; releases under way have 0.5 s.

TestCallsEndWhereAnotherProcessTakesTheAddress failed before; TestCallsLastWhereTheSameProcessIsReachedAgain holds the reason of the old rule.

--- a/internal/interwork/attempt.go
+++ b/internal/interwork/attempt.go
@@ -375,7 +375,11 @@
 // sends it on every link; only changes are passed on.
 func (c *Core) handleNotify(peer *peerExchange, msg *sip.Message) {
 	report := c.parseReport(peer, msg)
-	if !report.CircuitsKnown || report == peer.lastReport {
+	if !report.CircuitsKnown {
+		return
+	}
+	c.noteGroupState(peer, report.FreeCircuits, report.GroupSize)
+	if report == peer.lastReport {
 		return
 	}
 	peer.lastReport = report
--- a/internal/interwork/interwork.go
+++ b/internal/interwork/interwork.go
@@ -180,6 +180,7 @@
 	pingDelayEstablished = time.Second             // the same for a link to an exchange with established calls only
 	pingTimeout          = 600 * time.Millisecond  // closes a link whose ping is not answered
 	unresponsiveTimeout  = 4 * time.Second         // ends the calls at an exchange that answers nothing
+	lostReleaseTimeout   = 500 * time.Millisecond  // ends the calls that no circuit is in use for, if no release comes
 	refusingTimeout      = 600 * time.Millisecond  // ends the calls at an exchange that refuses connections
 	endingRetention      = 20 * time.Second        // ended calls are remembered
 	adoptedHoldingTimes  = 10                      // mean holding times of its class after which an adopted call is ended
--- a/internal/interwork/links.go
+++ b/internal/interwork/links.go
@@ -68,6 +68,7 @@
 		}
 	}
 	c.scheduleReopening(peer)
+	c.endCallsOfIdleGroup(peer)
 	counts := countLinks(peer)
 	c.noteSilence(peer, counts)
 	switch {
@@ -287,7 +288,10 @@
 func (c *Core) removeLink(link *peerLink) {
 	delete(c.links, link.id)
 	link.peer.links = slices.DeleteFunc(link.peer.links, func(other *peerLink) bool { return other == link })
-	link.up = false
+	if link.up {
+		link.up = false
+		c.noteLastLinkLost(link.peer)
+	}
 	c.resendByes(link)
 }
 
--- a/internal/interwork/peer.go
+++ b/internal/interwork/peer.go
@@ -33,6 +33,9 @@
 	// none or if no established call depends on it any more.
 	unconfirmedCloseAt time.Duration
 	nextReopenAt       time.Duration // when to open a further link after such a close
+
+	lastLinkLostAt time.Duration // when no link was up any more, 0 if that was never so or has been looked into
+	idleGroup      endOfIdleGroup
 }
 
 // withoutRemoved filters out, in place, the peers that were removed.
