--- a/internal/interwork/silence_test.go
+++ b/internal/interwork/silence_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"dahliaspindle/internal/isup"
 )
 
 // hang moves the clock on while exchange 1 hangs: its machine completes connections, but nothing is answered
@@ -63,18 +61,6 @@
 	}
 }
 
-// Guards against the end of a call that is adopted from an exchange that nobody has asked anything for a while.
-func TestAdoptedCallOfQuietExchangeLasts(t *testing.T) {
-	h := newHarness(t, newDirectModule(1))
-	h.now += 10 * unresponsiveTimeout
-	h.handle(CallerConnected{9})
-	h.handleCallerMessage(9, replaceParam(newSetUp(7, 1), isup.ParamRouting, "dest:1;width:1;via:-1;at:s-1"))
-	h.advance(2 * unresponsiveTimeout)
-	if got := h.sentToCaller(9, 7); got != "" || len(h.core.calls) != 1 {
-		t.Errorf("caller received %q, %d calls are left; want nothing and 1", got, len(h.core.calls))
-	}
-}
-
 // While an exchange hangs, the BYEs of its calls cost few connections.
 func TestHangingExchangeGetsFewConnections(t *testing.T) {
 	h := newHarness(t, newDirectModule(1))
