Links that come up in a silence are tested as all others, BYEs held for pending calls

Cause: a link that came up during a silence was pinged at once and closed 0.6 s later, with the set-ups that were sent on it meanwhile. And a BYE was sent again while its call was still pending, where the next set-up can overtake it on another link.

BYEs of pending calls are not repeated; TestByeOfPendingCallIsNotSentAgain failed before.

--- a/internal/interwork/byes.go
+++ b/internal/interwork/byes.go
@@ -93,8 +93,9 @@
 	return c.now-oldest.sentAt >= pingDelayEstablished<<min(oldest.resends, maxByeBackoffs)
 }
 
-// resendByes sends the BYEs again that may not have arrived on a link that has ended, except those of calls that
-// have been set up at the exchange again.
+// resendByes sends the BYEs again that may not have arrived on a link that has ended. A call that is established at
+// the exchange by now, or is still pending and may be sent there again, is left alone: its set-up could overtake the
+// BYE on another link and be released by it.
 func (c *Core) resendByes(link *peerLink) {
 	byes := link.unconfirmedByes
 	link.unconfirmedByes = nil
@@ -102,10 +103,10 @@
 		return
 	}
 	for _, bye := range byes {
-		attempt := c.attempts[bye.id]
-		if link.peer.calls[bye.id] == nil && (attempt == nil || attempt.peer != link.peer) {
-			bye.resends++
-			c.sendOrKeepBye(link.peer, bye.byeRequest)
+		if call := c.calls[bye.id]; call != nil && (!call.established || call.peer == link.peer) {
+			continue
 		}
+		bye.resends++
+		c.sendOrKeepBye(link.peer, bye.byeRequest)
 	}
 }
--- a/internal/interwork/byes_test.go
+++ b/internal/interwork/byes_test.go
@@ -76,6 +76,24 @@
 	}
 }
 
+// The same for a call that is still pending and may be sent to the exchange again: its next set-up could overtake the
+// BYE on another link.
+func TestByeOfPendingCallIsNotSentAgain(t *testing.T) {
+	module, h, sent := newHarnessWithPendingCall(t, 2)
+	module.respond = nil // the call waits for another route
+	h.addLink(1)
+	h.handle(LinkDown{Link: sent.Link})
+	bye, ok := h.lastSent(sip.Bye, 7)
+	if !ok {
+		t.Fatal("no BYE was sent for an attempt that may have been answered")
+	}
+	h.addLink(1)
+	h.handle(LinkDown{Link: bye.Link})
+	if got := h.countSent(sip.Bye, 7); got != 1 {
+		t.Errorf("%d BYEs were sent while the call is pending, want 1", got)
+	}
+}
+
 // Probes are paid for by the whole network: a BYE that is answered at once costs none. Where exchanges do not
 // answer a BYE, a ping tells that it has arrived.
 func TestByeIsConfirmedByItsAnswerOrByAPing(t *testing.T) {
--- a/internal/interwork/links.go
+++ b/internal/interwork/links.go
@@ -23,6 +23,7 @@
 	lastUsedAt  time.Duration  // last set-up sent, or connect
 	usedForCall bool           // a set-up was sent on it
 	dialedAt    time.Duration
+	upAt        time.Duration
 
 	unconfirmedByes []sentBye // oldest first
 }
@@ -226,12 +227,9 @@
 		return
 	}
 	peer := link.peer
-	link.up, link.lastHeardAt, link.lastUsedAt = true, c.now, c.now
+	link.up, link.upAt, link.lastHeardAt, link.lastUsedAt = true, c.now, c.now, c.now
 	c.noteLinkOpened(link)
 	peer.connectFailures, peer.refusingSince, peer.retryAt = 0, 0, 0
-	if peer.silentSince > 0 && len(peer.calls) > 0 {
-		c.sendPing(link)
-	}
 	if peer.State != routing.InService {
 		c.emit(HoldSetUps{link.id, true})
 	}
--- a/internal/interwork/silence.go
+++ b/internal/interwork/silence.go
@@ -1,6 +1,9 @@
 package interwork
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The machine of an exchange that hangs still completes connections and takes data. Only a message shows that the
 // exchange works, so the time without one is counted from the first set-up, ping or connect that it has not answered.
@@ -31,17 +34,14 @@
 	return c.now - peer.silentSince
 }
 
-// isUnresponsive reports whether an exchange has been silent for so long that its calls are over. A link that
-// came up within that time still has its time to answer a ping.
+// isUnresponsive reports whether an exchange has been silent for so long that its calls are over. A link that came up
+// within that time is still pinged and has its time to answer.
 func (c *Core) isUnresponsive(peer *peerExchange) bool {
+	const timeToTestLink = pingDelayEstablished + pingTimeout
 	silence := c.silence(peer)
 	if len(peer.calls) == 0 || silence <= unresponsiveTimeout {
 		return false
 	}
-	for _, link := range peer.links {
-		if link.pingSentAt > 0 && silence <= unresponsiveTimeout+pingTimeout {
-			return false
-		}
-	}
-	return true
+	isTested := func(link *peerLink) bool { return link.up && c.now-link.upAt <= timeToTestLink }
+	return silence > unresponsiveTimeout+timeToTestLink || !slices.ContainsFunc(peer.links, isTested)
 }
