A second loss of all links is not forgotten with the evidence from the first

Found on reading the series again. Calls set up between two losses of all links within 0.5 s stood on: acting on the state of the group after the first cleared the time of the last loss, whichever it was. It is cleared now only if it is the same. TestCallsEndWhereTheAddressIsTakenTwice failed before.

Two reasons had no check that could fail: the wait for releases under way (TestCallsLastWhereTheSameProcessIsReachedAgain now has one 0.1 s before its end) and the close of an idle link after an unnoticed close (TestLinksAreReopenedForCallsWhoseLinkIsClosedAsIdle); both fail with it switched off. Calls are made in one place in place of two.

--- a/internal/interwork/adoption.go
+++ b/internal/interwork/adoption.go
@@ -1,8 +1,6 @@
 package interwork
 
 import (
-	"fmt"
-
 	"dahliaspindle/internal/isup"
 	"dahliaspindle/routing"
 )
@@ -33,17 +31,8 @@
 	}
 	c.adopted++
 	c.Stats.Adopted++
-	call := &activeCall{
-		id:            id,
-		callID:        fmt.Sprintf("%016x", id),
-		conn:          conn,
-		class:         request.class,
-		number:        request.number,
-		peer:          peer,
-		established:   true,
-		adopted:       true,
-		establishedAt: c.now,
-	}
+	call := newActiveCall(conn, id, request)
+	call.peer, call.established, call.adopted, call.establishedAt = peer, true, true, c.now
 	if longest := adoptedHoldingTimes * c.cfg.Settings.Classes[request.Class].Holding; longest > 0 {
 		call.expiry = c.timers.Set(c.now+longest, timerEvent{adopted: call})
 	}
--- a/internal/interwork/caller.go
+++ b/internal/interwork/caller.go
@@ -41,6 +41,11 @@
 	expiry        timerwheel.Handle // of an adopted call
 }
 
+// newActiveCall returns a call with what its set-up tells of it, the description excepted.
+func newActiveCall(conn *callerConn, id uint64, request setUpRequest) *activeCall {
+	return &activeCall{id: id, callID: fmt.Sprintf("%016x", id), conn: conn, class: request.class, number: request.number}
+}
+
 // handleCallerConnected registers a connection and, above the limit, closes one.
 func (c *Core) handleCallerConnected(id ConnID) {
 	conn := &callerConn{id: id, quietSince: c.now}
@@ -204,14 +209,8 @@
 		c.rejectCall(conn.id, id)
 		return
 	}
-	call := &activeCall{
-		id:          id,
-		callID:      fmt.Sprintf("%016x", id),
-		conn:        conn,
-		class:       request.class,
-		number:      request.number,
-		description: bytes.Clone(request.description), // the original keeps the whole message in memory
-	}
+	call := newActiveCall(conn, id, request)
+	call.description = bytes.Clone(request.description) // the original keeps the whole message in memory
 	if !c.fitsMessageSize(call) {
 		c.Stats.Invalid++
 		c.emit(SendToCaller{conn.id, newRelease(id, isup.InvalidContents)})
--- a/internal/interwork/releases_test.go
+++ b/internal/interwork/releases_test.go
@@ -244,3 +244,21 @@
 		t.Errorf("%d dials, %d links, %d are allowed", got, len(h.core.links), h.core.cfg.MaxLinks)
 	}
 }
+
+// Guards against a lost release of a call that was set up after an unnoticed close: once its own link is closed as
+// idle, the exchange may send the release on the link that it wrongly believes to be open.
+func TestLinksAreReopenedForCallsWhoseLinkIsClosedAsIdle(t *testing.T) {
+	h := newHarness(t, newDirectModule(1))
+	h.loseUnnoticed(h.establishCall(1, 7))
+	h.advance(maintenanceInterval)
+	link := h.establishCall(1, 8)
+	h.core.closeLink(h.core.links[link], "idle")
+	h.handle(LinkMessage{link, newBye(7, 16)}) // crosses the close
+	h.handle(LinkDown{Link: link})
+	h.advance(2 * maintenanceInterval) // the exchange gets another link in place of that one
+	dials := h.dialsTo(1)
+	h.advance(releaseTimeLimit)
+	if h.dialsTo(1) == dials {
+		t.Error("no link was opened for a release that may be sent on a dead one")
+	}
+}
--- a/internal/interwork/replaced.go
+++ b/internal/interwork/replaced.go
@@ -38,6 +38,9 @@
 	if evidence.callsBefore == 0 || c.now-evidence.reportedAt < lostReleaseTimeout {
 		return
 	}
-	peer.idleGroup, peer.lastLinkLostAt = endOfIdleGroup{}, 0
+	peer.idleGroup = endOfIdleGroup{}
+	if peer.lastLinkLostAt == evidence.callsBefore { // else the links were lost again since
+		peer.lastLinkLostAt = 0
+	}
 	c.endCallsBefore(peer, evidence.callsBefore, "no circuit in use")
 }
--- a/internal/interwork/replaced_test.go
+++ b/internal/interwork/replaced_test.go
@@ -66,9 +66,31 @@
 	}
 	h.loseAllLinks()
 	h.reportGroup(20) // the call has come to its end, and its release follows
+	h.advance(lostReleaseTimeout - 2*maintenanceInterval)
 	h.handle(LinkMessage{h.firstLinkUp(1), newBye(7, 16)})
 	h.advance(time.Second)
 	if got := h.sentToCaller(1, 7); got != "9 12/16" {
 		t.Errorf("caller received %q, want its answer and the release of the exchange", got)
 	}
 }
+
+// Guards against calls that stand for ever: the links are lost a second time before the evidence from the first loss
+// is acted on, and the calls from between are over as well.
+func TestCallsEndWhereTheAddressIsTakenTwice(t *testing.T) {
+	h := newHarness(t, newDirectModule(1))
+	h.establishCall(1, 7)
+	h.advance(time.Second)
+	h.loseAllLinks()
+	h.reportGroup(20)
+	h.establishCall(2, 8) // at the second process
+	h.advance(maintenanceInterval)
+	h.loseAllLinks()
+	h.advance(2 * lostReleaseTimeout)
+	h.reportGroup(20) // by the third process
+	h.advance(2 * lostReleaseTimeout)
+	for conn, id := range map[ConnID]uint64{1: 7, 2: 8} {
+		if got := h.sentToCaller(conn, id); got != "9 12/41" {
+			t.Errorf("call %d: its caller received %q, want its answer and a release", id, got)
+		}
+	}
+}
